--- /dev/null
+++ b/cmd/damaskpitch/daemons.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/damaskpitch/damaskpitch/config"
+	"github.com/damaskpitch/damaskpitch/ctrl"
+	"github.com/damaskpitch/damaskpitch/fakes"
+	"github.com/damaskpitch/damaskpitch/node"
+)
+
+func settingsFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "config", Usage: "read the settings from `FILE`", Required: true},
+		&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+	}
+}
+
+func controlCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "control",
+		Usage: "run a control host: the replicated configuration and its API",
+		Flags: settingsFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			settings, err := config.LoadControl(c.String("config"))
+			if err != nil || c.Bool("check") {
+				return err
+			}
+			return runControl(ctx, settings)
+		},
+	}
+}
+
+func runControl(ctx context.Context, settings config.Control) error {
+	logger, err := newLogger(settings.Log.Level)
+	if err != nil {
+		return err
+	}
+	s, err := ctrl.New(ctx, ctrl.Config{Settings: settings, Logger: logger})
+	if err != nil {
+		return err
+	}
+	return s.Run(ctx)
+}
+
+func nodeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "node",
+		Usage: "run the process of a backend server host",
+		Flags: settingsFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			settings, err := config.LoadNode(c.String("config"))
+			if err != nil || c.Bool("check") {
+				return err
+			}
+			return runNode(ctx, settings)
+		},
+	}
+}
+
+func runNode(ctx context.Context, settings config.Node) error {
+	logger, err := newLogger(settings.Log.Level)
+	if err != nil {
+		return err
+	}
+	return node.New(node.Config{Settings: settings, Logger: logger}).Run(ctx)
+}
+
+func backendCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "backend",
+		Usage: "run a small fake backend server, for trials",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "id", Usage: "announce as `NAME`", Required: true},
+			&cli.StringFlag{Name: "service", Usage: "serve `NAME`", Required: true},
+			&cli.StringFlag{Name: "listen", Usage: "listen on `ADDR`", Value: "127.0.0.1:0"},
+			&cli.StringFlag{Name: "node", Usage: "announce at the node's local `ADDR`", Required: true},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			b, err := fakes.StartBackend(ctx, fakes.BackendConfig{
+				ID: c.String("id"), Service: c.String("service"), Listen: c.String("listen"), Node: c.String("node"),
+			})
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(c.Root().Writer, b.Addr())
+			<-ctx.Done()
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/damaskpitch/main.go
@@ -0,0 +1,68 @@
+// Command damaskpitch runs the daemons of the fleet and drives them.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/damaskpitch/damaskpitch/spec"
+)
+
+const (
+	_exitFailed  = 1
+	_exitInvalid = 2
+)
+
+// version is set when a release is built.
+var version = "development"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args)
+	stop()
+	os.Exit(code)
+}
+
+func run(ctx context.Context, args []string) int {
+	err := newApp().Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "damaskpitch:", err)
+	if errors.Is(err, spec.ErrInvalid) || errors.Is(err, errUsage) {
+		return _exitInvalid
+	}
+	return _exitFailed
+}
+
+// errUsage marks a command line that cannot be carried out.
+var errUsage = errors.New("wrong usage")
+
+func newApp() *cli.Command {
+	return &cli.Command{
+		Name:                  "damaskpitch",
+		Usage:                 "a proxy fleet for backend servers with gray failures",
+		Description:           "Exit codes: 0 done, 1 failed, 2 wrong settings or usage.",
+		Version:               version,
+		EnableShellCompletion: true,
+		Commands:              []*cli.Command{controlCommand(), nodeCommand(), ctlCommand(), backendCommand(), devCommand()},
+	}
+}
+
+func newLogger(level string) (*slog.Logger, error) {
+	var l slog.Level
+	if level == "" {
+		level = "info"
+	}
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		return nil, errors.Errorf("log level: %w", err)
+	}
+	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: l})), nil
+}
--- /dev/null
+++ b/ctrl/api.go
@@ -0,0 +1,221 @@
+package ctrl
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+
+	"github.com/damaskpitch/damaskpitch/spec"
+	"github.com/damaskpitch/damaskpitch/store"
+	"github.com/damaskpitch/damaskpitch/view"
+	"github.com/damaskpitch/damaskpitch/wire"
+)
+
+const (
+	_apiTimeout   = 5 * time.Second
+	_requestLimit = 128
+	_votersWanted = 2
+)
+
+// Problem is the body of every error of the resource API.
+type Problem struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	Field   string `json:"field,omitempty"`
+	Rev     uint64 `json:"rev,omitempty"`
+}
+
+func (s *Server) apiHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/services", s.listServices).Methods(http.MethodGet)
+	r.HandleFunc("/v1/services/{name}", s.getService).Methods(http.MethodGet)
+	r.HandleFunc("/v1/services/{name}", s.putService).Methods(http.MethodPut)
+	r.HandleFunc("/v1/services/{name}", s.dropService).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/members", s.listMembers).Methods(http.MethodGet)
+	r.HandleFunc("/v1/status", s.getStatus).Methods(http.MethodGet)
+	r.HandleFunc("/v1/watch", s.watch).Methods(http.MethodGet)
+	r.Handle("/metrics", s.meter.Handler).Methods(http.MethodGet)
+	if s.cfg.Settings.Token == "" {
+		return r
+	}
+	return wire.Guard(s.cfg.Settings.Token, r)
+}
+
+func (s *Server) listServices(w http.ResponseWriter, r *http.Request) {
+	if !s.current(w, r) {
+		return
+	}
+	var list []view.Versioned
+	s.replica.Read(func(m store.Model) { list = m.View().Services() })
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (s *Server) getService(w http.ResponseWriter, r *http.Request) {
+	if !s.current(w, r) {
+		return
+	}
+	var found view.Versioned
+	var ok bool
+	s.replica.Read(func(m store.Model) { found, ok = m.View().Service(mux.Vars(r)["name"]) })
+	if !ok {
+		writeProblem(w, http.StatusNotFound, Problem{Code: "missing", Message: "no such service"})
+		return
+	}
+	w.Header().Set("ETag", etag(found.Rev))
+	writeJSON(w, http.StatusOK, found)
+}
+
+func (s *Server) putService(w http.ResponseWriter, r *http.Request) {
+	var service spec.Service
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, spec.MaxDocument))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&service); err != nil {
+		writeProblem(w, http.StatusBadRequest, Problem{Code: "malformed", Message: err.Error()})
+		return
+	}
+	service = service.WithDefaults()
+	if service.Name != mux.Vars(r)["name"] {
+		writeProblem(w, http.StatusBadRequest, Problem{
+			Code: "invalid", Field: "Service.name",
+			Message: "name " + strconv.Quote(service.Name) + " differs from the path's",
+		})
+		return
+	}
+	if err := service.Check(); err != nil {
+		writeProblem(w, http.StatusUnprocessableEntity, invalid(err))
+		return
+	}
+	match, ok := matchOf(w, r)
+	if ok {
+		s.write(w, r, store.PutService{Request: r.Header.Get("Request-Id"), Match: match, Service: service})
+	}
+}
+
+func (s *Server) dropService(w http.ResponseWriter, r *http.Request) {
+	match, ok := matchOf(w, r)
+	if ok {
+		s.write(w, r, store.DropService{
+			Request: r.Header.Get("Request-Id"), Match: match, Name: mux.Vars(r)["name"],
+		})
+	}
+}
+
+func (s *Server) write(w http.ResponseWriter, r *http.Request, c store.Command) {
+	ctx, cancel := context.WithTimeout(r.Context(), _apiTimeout)
+	defer cancel()
+	if !s.ready() {
+		unavailable(w, errors.New("too few control hosts have joined"))
+		return
+	}
+	result, err := s.submit(ctx, c)
+	if err != nil {
+		s.refused(w, err)
+		return
+	}
+	switch result := result.(type) {
+	case store.Written:
+		w.Header().Set("ETag", etag(result.Rev))
+		writeJSON(w, http.StatusOK, result)
+	case store.Conflict:
+		writeProblem(w, http.StatusPreconditionFailed, Problem{
+			Code: "conflict", Message: "the resource has another revision", Rev: result.Rev,
+		})
+	default:
+		writeProblem(w, http.StatusNotFound, Problem{Code: "missing", Message: "no such service"})
+	}
+}
+
+// refused tells a write that had no effect from one whose outcome is unknown.
+func (s *Server) refused(w http.ResponseWriter, err error) {
+	if errors.IsAny(err, ErrNoLeader, ErrUnavailable, ErrLost) {
+		unavailable(w, err)
+		return
+	}
+	writeProblem(w, http.StatusGatewayTimeout, Problem{
+		Code:    "unknown",
+		Message: "the write may have taken effect; send it again with the same Request-Id: " + err.Error(),
+	})
+}
+
+// ready refuses writes while so few hosts have joined that losing one loses
+// accepted writes.
+func (s *Server) ready() bool {
+	voters := 0
+	for _, p := range s.replica.Status().Peers {
+		if !p.Learner {
+			voters++
+		}
+	}
+	return voters >= len(s.cfg.Settings.Hosts)/_votersWanted+1
+}
+
+// current waits until this host may answer for the present.
+func (s *Server) current(w http.ResponseWriter, r *http.Request) bool {
+	if r.URL.Query().Get("stale") != "" {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), _apiTimeout)
+	defer cancel()
+	if err := s.fresh(ctx); err != nil {
+		unavailable(w, err)
+		return false
+	}
+	return true
+}
+
+func matchOf(w http.ResponseWriter, r *http.Request) (int64, bool) {
+	if len(r.Header.Get("Request-Id")) > _requestLimit {
+		writeProblem(w, http.StatusBadRequest, Problem{
+			Code: "invalid", Field: "Request-Id", Message: "128 bytes at most",
+		})
+		return 0, false
+	}
+	header := r.Header.Get("If-Match")
+	if header == "*" {
+		return store.AnyRev, true
+	}
+	match, err := strconv.ParseInt(strings.Trim(header, `"`), 10, 64)
+	if err != nil || match < 0 {
+		writeProblem(w, http.StatusPreconditionRequired, Problem{
+			Code: "precondition", Field: "If-Match",
+			Message: "value " + strconv.Quote(header) + `: want the revision to replace, "0" to create, or *`,
+		})
+		return 0, false
+	}
+	return match, true
+}
+
+func invalid(err error) Problem {
+	p := Problem{Code: "invalid", Message: err.Error()}
+	var field *spec.FieldError
+	if errors.As(err, &field) {
+		p.Field = field.Field
+	}
+	return p
+}
+
+func unavailable(w http.ResponseWriter, err error) {
+	w.Header().Set("Retry-After", "1")
+	writeProblem(w, http.StatusServiceUnavailable, Problem{Code: "unavailable", Message: err.Error()})
+}
+
+func etag(rev uint64) string {
+	return strconv.Quote(strconv.FormatUint(rev, 10))
+}
+
+func writeProblem(w http.ResponseWriter, status int, p Problem) {
+	writeJSON(w, status, p)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that went away needs no answer.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/ctrl/rpc.go
@@ -0,0 +1,186 @@
+package ctrl
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damaskpitch/damaskpitch/proto"
+	"github.com/damaskpitch/damaskpitch/raft"
+	"github.com/damaskpitch/damaskpitch/store"
+	"github.com/damaskpitch/damaskpitch/view"
+	"github.com/damaskpitch/damaskpitch/wire"
+)
+
+const _maxWait = 20 * time.Second
+
+// ErrUnavailable says that no leader with a quorum is known; nothing was done.
+var ErrUnavailable = errors.New("no leader with a quorum")
+
+func (s *Server) peerHandler() http.Handler {
+	return wire.Serve(s.cfg.Settings.Key, proto.Codec, s.handle)
+}
+
+func (s *Server) handle(ctx context.Context, msg any) (any, error) {
+	switch msg := msg.(type) {
+	case proto.Mail:
+		return proto.Ack{}, s.receive(ctx, msg)
+	case proto.Hello:
+		return proto.Greeting{ID: s.disk.ID(), Name: s.cfg.Settings.Name, Member: s.belongs()}, nil
+	case proto.Join:
+		return proto.Ack{}, s.join(ctx, msg)
+	case proto.Submit:
+		return s.submitLocal(ctx, msg), nil
+	case proto.Barrier:
+		index, err := s.replica.Barrier(ctx)
+		return proto.Current{Index: index}, err
+	case proto.Pull:
+		return s.pull(ctx, msg)
+	case proto.Beat:
+		return s.beat(ctx, msg), nil
+	case proto.Census:
+		return proto.Holding{Nodes: s.roll.holding()}, nil
+	}
+	return nil, errors.Newf("unexpected message %T", msg)
+}
+
+func (s *Server) receive(ctx context.Context, mail proto.Mail) error {
+	for _, letter := range mail.Letters {
+		if letter.To != s.disk.ID() || letter.Group != _fleet {
+			continue
+		}
+		if err := s.replica.Tell(ctx, raft.ReceiveMsg{From: letter.From, Body: letter.Body}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Server) join(ctx context.Context, msg proto.Join) error {
+	if s.leading() {
+		return s.replica.Tell(ctx, raft.JoinMsg{Peer: msg.Peer})
+	}
+	addr := s.leaderAddr()
+	if addr == "" {
+		return ErrUnavailable
+	}
+	_, err := s.call(ctx, addr, msg)
+	return err
+}
+
+// submit runs a command here if this host leads, or else at the leader.
+func (s *Server) submit(ctx context.Context, c store.Command) (store.Result, error) {
+	if s.leading() {
+		return s.replica.Submit(ctx, c)
+	}
+	addr := s.leaderAddr()
+	if addr == "" {
+		return nil, ErrUnavailable
+	}
+	reply, err := s.client.Call(ctx, addr, proto.Submit{Command: c})
+	if err != nil {
+		return nil, err
+	}
+	out, ok := reply.(proto.Outcome)
+	if !ok {
+		return nil, errors.Newf("outcome is %T", reply)
+	}
+	if out.Error != "" {
+		return nil, errors.Errorf("%s: %w", out.Error, ErrUnavailable)
+	}
+	result, _ := out.Result.(store.Result)
+	return result, nil
+}
+
+func (s *Server) submitLocal(ctx context.Context, msg proto.Submit) proto.Outcome {
+	c, ok := msg.Command.(store.Command)
+	if !ok {
+		return proto.Outcome{Error: "no command"}
+	}
+	if !s.leading() {
+		return proto.Outcome{Leader: s.leaderAddr(), Error: ErrNoLeader.Error()}
+	}
+	result, err := s.replica.Submit(ctx, c)
+	if err != nil {
+		return proto.Outcome{Error: err.Error()}
+	}
+	return proto.Outcome{Result: result}
+}
+
+// fresh waits until this host's state is as new as the leader's.
+func (s *Server) fresh(ctx context.Context) error {
+	index, err := s.replica.Barrier(ctx)
+	if errors.Is(err, ErrNoLeader) {
+		index, err = s.leaderBarrier(ctx)
+	}
+	if err != nil {
+		return errors.Errorf("find the leader's index: %w", err)
+	}
+	return s.replica.Await(ctx, index)
+}
+
+func (s *Server) leaderBarrier(ctx context.Context) (uint64, error) {
+	addr := s.leaderAddr()
+	if addr == "" || s.leading() {
+		return 0, ErrUnavailable
+	}
+	reply, err := s.call(ctx, addr, proto.Barrier{})
+	if err != nil {
+		return 0, err
+	}
+	current, _ := reply.(proto.Current)
+	return current.Index, nil
+}
+
+func (s *Server) leaderAddr() string {
+	status := s.replica.Status()
+	for _, p := range status.Peers {
+		if p.ID == status.Leader {
+			return p.Addr
+		}
+	}
+	return ""
+}
+
+// pull answers a node with what changed, and waits for news for a while.
+func (s *Server) pull(ctx context.Context, msg proto.Pull) (proto.Delta, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(msg.Wait, _maxWait))
+	defer cancel()
+	for {
+		changed := s.replica.Changed()
+		delta := s.delta(msg)
+		if delta.Rev != msg.Rev || delta.Cluster != msg.Cluster {
+			return delta, nil
+		}
+		select {
+		case <-changed:
+		case <-s.ctx.Done():
+			return delta, nil
+		case <-ctx.Done():
+			return delta, nil
+		}
+	}
+}
+
+func (s *Server) delta(msg proto.Pull) proto.Delta {
+	var delta proto.Delta
+	s.replica.Read(func(m store.Model) {
+		v := m.View()
+		delta = proto.Delta{Cluster: v.Cluster, From: msg.Rev, Rev: v.Rev}
+		if msg.Cluster != 0 && msg.Cluster != v.Cluster {
+			return
+		}
+		events, ok := m.Since(msg.Rev)
+		if ok {
+			delta.Events = append([]view.Event(nil), events...)
+			return
+		}
+		if msg.Rev < v.Rev {
+			snapshot := v.Snapshot()
+			delta.Snapshot = &snapshot
+		}
+	})
+	return delta
+}
--- /dev/null
+++ b/disk/disk.go
@@ -0,0 +1,158 @@
+package disk
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"github.com/damaskpitch/damaskpitch/raft"
+	"github.com/damaskpitch/damaskpitch/wire"
+)
+
+var (
+	// ErrCorrupt reports files that do not hold together.
+	ErrCorrupt = errors.New("data folder is corrupt")
+	// ErrFormat reports files of another version of the format.
+	ErrFormat = errors.New("data folder has another format")
+)
+
+// Config sets where the files live; FS is the operating system's when nil.
+type Config struct {
+	Folder string
+	FS     vfs.FS
+}
+
+// Disk is one open data folder.
+type Disk struct {
+	db *pebble.DB
+	id uint64
+}
+
+// Identity is what a data folder says of itself.
+type Identity struct {
+	Format uint32 `json:"format"`
+	ID     uint64 `json:"id"`
+}
+
+// hard is a replica's term and vote.
+type hard struct {
+	Term uint64 `json:"term"`
+	Vote uint64 `json:"vote"`
+}
+
+var _codec = wire.NewCodec(Identity{}, hard{}, raft.Entry{}, raft.Snapshot{})
+
+// Open opens or creates the data folder and gives a new one a random identity.
+func Open(cfg Config) (*Disk, error) {
+	db, err := pebble.Open(cfg.Folder, &pebble.Options{
+		FS:     cfg.FS,
+		Logger: quiet{},
+	})
+	if err != nil {
+		return nil, errors.Errorf("open data folder %q: %w", cfg.Folder, err)
+	}
+	d := &Disk{db: db}
+	if err := d.identify(); err != nil {
+		return nil, errors.CombineErrors(err, db.Close())
+	}
+	return d, nil
+}
+
+// ID returns the identity of the data folder.
+func (d *Disk) ID() uint64 {
+	return d.id
+}
+
+// Close closes the files.
+func (d *Disk) Close() error {
+	if err := d.db.Close(); err != nil {
+		return errors.Errorf("close data folder: %w", err)
+	}
+	return nil
+}
+
+// Save writes a replica's term, vote and entries, and syncs.
+func (d *Disk) Save(group uint32, cmd raft.SaveCmd) error {
+	batch := d.db.NewBatch()
+	defer batch.Close()
+	if err := set(batch, key(group, _hard, 0), hard{Term: cmd.Term, Vote: cmd.Vote}); err != nil {
+		return err
+	}
+	if len(cmd.Entries) > 0 {
+		from := key(group, _entry, cmd.Entries[0].Index)
+		if err := batch.DeleteRange(from, key(group, _entry+1, 0), nil); err != nil {
+			return errors.Errorf("replace entries: %w", err)
+		}
+	}
+	for _, e := range cmd.Entries {
+		if err := set(batch, key(group, _entry, e.Index), e); err != nil {
+			return err
+		}
+	}
+	if err := batch.Commit(pebble.Sync); err != nil {
+		return errors.Errorf("sync entries: %w", err)
+	}
+	return nil
+}
+
+// Snapshot writes a snapshot, drops the entries that it covers, and syncs.
+func (d *Disk) Snapshot(group uint32, cmd raft.SnapshotCmd) error {
+	batch := d.db.NewBatch()
+	defer batch.Close()
+	if err := set(batch, key(group, _snapshot, 0), cmd.Snapshot); err != nil {
+		return err
+	}
+	end := key(group, _entry, cmd.Snapshot.Index+1)
+	if cmd.Reset {
+		end = key(group, _entry+1, 0)
+	}
+	if err := batch.DeleteRange(key(group, _entry, 0), end, nil); err != nil {
+		return errors.Errorf("drop entries: %w", err)
+	}
+	if err := batch.Commit(pebble.Sync); err != nil {
+		return errors.Errorf("sync snapshot: %w", err)
+	}
+	return nil
+}
+
+func (d *Disk) identify() error {
+	found, err := get[Identity](d.db, _identity)
+	if err != nil {
+		return errors.Errorf("read identity: %w", err)
+	}
+	if found != nil && found.Format != wire.Version {
+		return errors.Errorf("format %d: %w", found.Format, ErrFormat)
+	}
+	if found != nil {
+		d.id = found.ID
+		return nil
+	}
+	id := Identity{Format: wire.Version, ID: randomID()}
+	data, err := seal(id)
+	if err != nil {
+		return err
+	}
+	if err := d.db.Set(_identity, data, pebble.Sync); err != nil {
+		return errors.Errorf("write identity: %w", err)
+	}
+	d.id = id.ID
+	return nil
+}
+
+func randomID() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:])>>1 | 1
+}
+
+// quiet drops the storage library's own log lines.
+type quiet struct{}
+
+func (quiet) Infof(string, ...any)  {}
+func (quiet) Errorf(string, ...any) {}
+func (quiet) Fatalf(format string, args ...any) {
+	panic(errors.Newf(format, args...))
+}
--- /dev/null
+++ b/fakes/fault.go
@@ -0,0 +1,51 @@
+package fakes
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+)
+
+// spoil answers in a faulty way, and reports whether it did.
+func (b *Backend) spoil(w http.ResponseWriter, r *http.Request, f Fault) bool {
+	if f == Whole || f == Short && strings.HasPrefix(r.URL.Path, "/blob") {
+		return false
+	}
+	if f == Hang {
+		<-r.Context().Done()
+		return true
+	}
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	if f != Reset {
+		_, _ = buffer.WriteString(spoilt(f))
+		_ = buffer.Flush()
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok && f == Reset {
+		_ = tcp.SetLinger(0)
+	}
+	return true
+}
+
+func spoilt(f Fault) string {
+	const body = `{"spoilt":true}`
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	switch f {
+	case Short:
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body)+10, body)
+	case Cut:
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body)
+	case Extra:
+		return whole + whole
+	case Crossed:
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: another\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	case Endless:
+		return "HTTP/1.1 200 OK\r\n\r\n" + body
+	default:
+		return whole
+	}
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,251 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/ledger"
+)
+
+// Limits are an instance's slots, queue and ramp.
+type Limits struct {
+	Slots  int
+	Queue  int
+	Warmup time.Duration
+}
+
+// Load is how busy an instance is.
+type Load struct {
+	Running int
+	Queued  int
+	Slots   int
+}
+
+// Config sets up a gate.
+type Config struct {
+	Ledger ledger.Config
+}
+
+// Model is the gate of one node; one loop owns it.
+type Model struct {
+	ledger    *ledger.Ledger
+	instances map[string]*instance
+}
+
+type instance struct {
+	limits  Limits
+	since   time.Duration
+	leaves  bool
+	leave   time.Duration
+	ejected time.Duration
+	running int
+	queue   queue
+}
+
+// New returns a gate without instances.
+func New(cfg Config) Model {
+	return Model{ledger: ledger.New(cfg.Ledger), instances: map[string]*instance{}}
+}
+
+// Load returns how busy an instance is.
+func (m Model) Load(id string, at time.Duration) Load {
+	i := m.instances[id]
+	if i == nil {
+		return Load{}
+	}
+	return Load{Running: i.running, Queued: i.queue.len(), Slots: i.slots(at)}
+}
+
+// State returns what is on record of an attempt.
+func (m Model) State(ref ledger.Ref) ledger.State {
+	return m.ledger.State(ref)
+}
+
+// Update folds one message in and returns what follows from it.
+func (m Model) Update(msg Msg) (Model, []Cmd) {
+	switch msg := msg.(type) {
+	case ServeMsg:
+		return m, m.serve(msg)
+	case LeaveMsg:
+		m.edit(msg.ID, func(i *instance) { i.leaves, i.leave = true, msg.Until })
+	case DropMsg:
+		return m, m.drop(msg)
+	case EjectMsg:
+		m.edit(msg.ID, func(i *instance) { i.ejected = msg.Until })
+	case RestoreMsg:
+		m.edit(msg.ID, func(i *instance) { i.ejected, i.since = 0, msg.At })
+	case AdmitMsg:
+		return m, m.admit(msg)
+	case DoneMsg:
+		return m, m.done(msg)
+	case RevokeMsg:
+		return m, m.revoke(msg)
+	case ClockMsg:
+		return m, m.clock(msg.At)
+	}
+	return m, nil
+}
+
+func (m Model) serve(msg ServeMsg) []Cmd {
+	i := m.instances[msg.ID]
+	if i == nil {
+		i = &instance{since: msg.At}
+		m.instances[msg.ID] = i
+	}
+	i.limits = msg.Limits
+	i.leaves = false
+	return m.fill(i, msg.At)
+}
+
+func (m Model) edit(id string, change func(*instance)) {
+	if i := m.instances[id]; i != nil {
+		change(i)
+	}
+}
+
+func (m Model) drop(msg DropMsg) []Cmd {
+	i := m.instances[msg.ID]
+	if i == nil {
+		return nil
+	}
+	delete(m.instances, msg.ID)
+	return m.refuseAll(i, NoInstance, msg.At)
+}
+
+func (m Model) admit(msg AdmitMsg) []Cmd {
+	switch state := m.ledger.Open(msg.Ref); state {
+	case ledger.Absent:
+	case ledger.Dead:
+		return []Cmd{RefuseCmd{Ref: msg.Ref, Reason: Revoked}}
+	default:
+		return []Cmd{DoubtCmd{Ref: msg.Ref, State: state}}
+	}
+	i := m.instances[msg.ID]
+	if reason := i.refuses(msg.At); reason != "" {
+		return m.refuse(msg.Ref, reason, msg.At)
+	}
+	if msg.At >= msg.Until {
+		return m.refuse(msg.Ref, Late, msg.At)
+	}
+	if i.running < i.slots(msg.At) && i.queue.len() == 0 {
+		return m.start(i, msg.Ref)
+	}
+	return m.enqueue(i, msg)
+}
+
+func (m Model) enqueue(i *instance, msg AdmitMsg) []Cmd {
+	w := waiter{ref: msg.Ref, until: msg.Until}
+	var cmds []Cmd
+	if i.queue.len() >= i.limits.Queue {
+		victim, ok := i.queue.yield(msg.Caller)
+		if !ok {
+			return m.refuse(msg.Ref, Full, msg.At)
+		}
+		cmds = m.refuse(victim.ref, Full, msg.At)
+	}
+	i.queue.push(msg.Caller, w)
+	return cmds
+}
+
+func (m Model) done(msg DoneMsg) []Cmd {
+	if m.ledger.State(msg.Ref) != ledger.Running {
+		return nil
+	}
+	m.ledger.Finish(msg.Ref, msg.At)
+	i := m.instances[msg.ID]
+	if i == nil {
+		return nil
+	}
+	i.running = max(0, i.running-1)
+	return m.fill(i, msg.At)
+}
+
+func (m Model) revoke(msg RevokeMsg) []Cmd {
+	before := m.ledger.State(msg.Ref)
+	state := m.ledger.Kill(msg.Ref, msg.At)
+	cmds := []Cmd{FateCmd{Ref: msg.Ref, State: state}}
+	if before != ledger.Waiting {
+		return cmds
+	}
+	if i := m.instances[msg.ID]; i != nil {
+		i.queue.remove(msg.Ref)
+	}
+	return append(cmds, RefuseCmd{Ref: msg.Ref, Reason: Revoked})
+}
+
+func (m Model) clock(at time.Duration) []Cmd {
+	var cmds []Cmd
+	for _, i := range m.instances {
+		for _, w := range i.queue.late(at) {
+			cmds = append(cmds, m.refuse(w.ref, Late, at)...)
+		}
+		if reason := i.refuses(at); reason != "" {
+			cmds = append(cmds, m.refuseAll(i, reason, at)...)
+		}
+		cmds = append(cmds, m.fill(i, at)...)
+	}
+	m.ledger.Forget(at)
+	return cmds
+}
+
+// fill starts what waits while slots are free.
+func (m Model) fill(i *instance, at time.Duration) []Cmd {
+	var cmds []Cmd
+	for i.running < i.slots(at) && i.refuses(at) == "" {
+		w, ok := i.queue.pop()
+		if !ok {
+			return cmds
+		}
+		if at >= w.until {
+			cmds = append(cmds, m.refuse(w.ref, Late, at)...)
+			continue
+		}
+		cmds = append(cmds, m.start(i, w.ref)...)
+	}
+	return cmds
+}
+
+func (m Model) start(i *instance, ref ledger.Ref) []Cmd {
+	if !m.ledger.Start(ref) {
+		return nil
+	}
+	i.running++
+	return []Cmd{StartCmd{Ref: ref}}
+}
+
+func (m Model) refuse(ref ledger.Ref, reason Reason, at time.Duration) []Cmd {
+	m.ledger.Kill(ref, at)
+	return []Cmd{RefuseCmd{Ref: ref, Reason: reason}}
+}
+
+func (m Model) refuseAll(i *instance, reason Reason, at time.Duration) []Cmd {
+	var cmds []Cmd
+	for {
+		w, ok := i.queue.pop()
+		if !ok {
+			return cmds
+		}
+		cmds = append(cmds, m.refuse(w.ref, reason, at)...)
+	}
+}
+
+// refuses returns why the instance takes no new work, or nothing.
+func (i *instance) refuses(at time.Duration) Reason {
+	switch {
+	case i == nil:
+		return NoInstance
+	case i.leaves && at >= i.leave:
+		return Leaving
+	case at < i.ejected:
+		return Ejected
+	}
+	return ""
+}
+
+// slots ramps a cold instance up from one slot.
+func (i *instance) slots(at time.Duration) int {
+	age := at - i.since
+	if age >= i.limits.Warmup {
+		return i.limits.Slots
+	}
+	return 1 + int(int64(i.limits.Slots-1)*int64(age)/int64(i.limits.Warmup))
+}
--- /dev/null
+++ b/node/backend.go
@@ -0,0 +1,179 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/gate"
+	"github.com/damaskpitch/damaskpitch/judge"
+	"github.com/damaskpitch/damaskpitch/ledger"
+	"github.com/damaskpitch/damaskpitch/spec"
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+const (
+	_defaultLease = 10 * time.Second
+	_maxLease     = 10 * time.Minute
+)
+
+// backend is one instance beside this node.
+type backend struct {
+	instance  view.Instance
+	lease     time.Duration // until when it is announced
+	since     time.Duration
+	patience  spec.Patience
+	judge     judge.Model
+	running   map[ledger.Ref]*work
+	transport *http.Transport
+}
+
+// work is one request that an instance runs.
+type work struct {
+	since  time.Duration
+	stalls time.Duration // when it counts as a stall the next time
+}
+
+// announce takes a backend server's announcement or renewal.
+func (s *Server) announce(i view.Instance, lease time.Duration) {
+	limits, patience := s.limits(i.Service)
+	grace := s.fleet.spec(i.Service).Grace.Std()
+	s.mu.Lock()
+	b, known := s.backs[i.ID]
+	if known && b.instance.Service != i.Service {
+		s.dropLocked(b)
+		known = false
+	}
+	if !known {
+		b = s.newBackend(i, patience, limits)
+		s.backs[i.ID] = b
+	}
+	if known && b.instance.Leaving {
+		i = i.WithLeaving()
+	}
+	changed := !known || b.instance != i
+	b.instance = i
+	b.lease = s.now() + lease
+	if !known {
+		s.tellLocked(gate.ServeMsg{ID: i.ID, Limits: limits, At: s.now()})
+	}
+	if !known && i.Leaving {
+		s.tellLocked(gate.LeaveMsg{ID: i.ID, Until: s.now() + grace})
+	}
+	s.mu.Unlock()
+	if !changed {
+		return
+	}
+	s.log.Info("announce", slog.String("instance", i.ID), slog.String("service", i.Service), slog.String("addr", i.Addr))
+	s.hurry()
+}
+
+func (s *Server) newBackend(i view.Instance, patience spec.Patience, limits gate.Limits) *backend {
+	dialer := &net.Dialer{Timeout: _dialTimeout}
+	return &backend{
+		instance: i,
+		since:    s.now(),
+		patience: patience,
+		judge:    judge.New(judge.Config{Patience: patience, Warm: s.now() + limits.Warmup}),
+		running:  map[ledger.Ref]*work{},
+		// One request a connection: no answer can meet another's request.
+		transport: &http.Transport{
+			DialContext:        dialer.DialContext,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+		},
+	}
+}
+
+// withdraw lets an instance finish: new work only within the grace.
+func (s *Server) withdraw(id string) bool {
+	s.mu.Lock()
+	b, ok := s.backs[id]
+	if !ok || b.instance.Leaving {
+		s.mu.Unlock()
+		return ok
+	}
+	service := b.instance.Service
+	s.mu.Unlock()
+	grace := s.fleet.spec(service).Grace.Std()
+	s.mu.Lock()
+	b.instance = b.instance.WithLeaving()
+	s.tellLocked(gate.LeaveMsg{ID: id, Until: s.now() + grace})
+	s.mu.Unlock()
+	s.log.Info("leaving", slog.String("instance", id), slog.Duration("grace", grace))
+	s.hurry()
+	return true
+}
+
+// limitAll follows the declared limits of every service.
+func (s *Server) limitAll() {
+	s.mu.Lock()
+	list := slices.Collect(maps.Values(s.backs))
+	s.mu.Unlock()
+	for _, b := range list {
+		limits, patience := s.limits(b.instance.Service)
+		s.mu.Lock()
+		if s.backs[b.instance.ID] == b && !b.instance.Leaving {
+			s.tellLocked(gate.ServeMsg{ID: b.instance.ID, Limits: limits, At: s.now()})
+		}
+		if b.patience != patience {
+			b.patience = patience
+			b.judge = judge.New(judge.Config{Patience: patience, Warm: b.since + limits.Warmup})
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *Server) limits(service string) (gate.Limits, spec.Patience) {
+	declared := s.fleet.spec(service)
+	return gate.Limits{
+		Slots:  declared.Slots,
+		Queue:  declared.Queue,
+		Warmup: declared.Warmup.Std(),
+	}, declared.Patience
+}
+
+// expireLeases drops the instances that no longer renew.
+func (s *Server) expireLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.backs {
+		if s.now() < b.lease || len(b.running) > 0 {
+			continue
+		}
+		s.log.Info("lease ran out", slog.String("instance", b.instance.ID))
+		s.dropLocked(b)
+		s.hurry()
+	}
+}
+
+func (s *Server) dropLocked(b *backend) {
+	delete(s.backs, b.instance.ID)
+	s.tellLocked(gate.DropMsg{ID: b.instance.ID, At: s.now()})
+}
+
+// instances returns what this node fronts, by name, and whether it leaves.
+func (s *Server) instances() ([]view.Instance, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]view.Instance, 0, len(s.backs))
+	for _, id := range slices.Sorted(maps.Keys(s.backs)) {
+		list = append(list, s.backs[id].instance)
+	}
+	return list, s.leaving
+}
+
+// leave withdraws every instance when the node itself is to stop and has no
+// successor.
+func (s *Server) leave(ctx context.Context) error {
+	<-ctx.Done()
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.log.Info("stopping")
+	return nil
+}
--- /dev/null
+++ b/node/beat.go
@@ -0,0 +1,165 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damaskpitch/damaskpitch/proto"
+	"github.com/damaskpitch/damaskpitch/spread"
+	"github.com/damaskpitch/damaskpitch/store"
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+// ErrControl says that no control host took a command.
+var ErrControl = errors.New("no control host answers")
+
+// beats renews this node's lease and enrolls it when the control hosts know
+// it otherwise than it is.
+func (s *Server) beats(ctx context.Context) error {
+	ticker := time.NewTicker(_beatInterval)
+	defer ticker.Stop()
+	for {
+		if err := s.beat(ctx); err != nil && ctx.Err() == nil {
+			s.log.Debug("heartbeat", slog.Any("error", err))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-s.kick:
+		}
+	}
+}
+
+// hurry sends the next heartbeat at once.
+func (s *Server) hurry() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Server) beat(ctx context.Context) error {
+	instances, leaving := s.instances()
+	if leaving {
+		return nil
+	}
+	var rev uint64
+	if !s.follow.with(ctx, func(m spread.Model) { rev = m.View().Rev }) {
+		return nil
+	}
+	msg := proto.Beat{
+		Node: s.cfg.Settings.Name, Epoch: s.epoch.Load(), Rev: rev, Digest: view.Digest(instances),
+	}
+	reply, err := s.callControl(ctx, msg)
+	if err != nil {
+		return err
+	}
+	known, ok := reply.(proto.BeatReply)
+	if !ok || known.Known {
+		return nil
+	}
+	return s.enroll(ctx, instances)
+}
+
+func (s *Server) enroll(ctx context.Context, instances []view.Instance) error {
+	result, err := s.submit(ctx, store.Enroll{Member: s.member(), Instances: instances})
+	if err != nil {
+		return errors.Errorf("enroll: %w", err)
+	}
+	if _, stale := result.(store.Stale); !stale {
+		return nil
+	}
+	// The clock was set back since an earlier start: go past its epoch.
+	s.follow.with(ctx, func(m spread.Model) {
+		if known, ok := m.View().Member(s.cfg.Settings.Name); ok && known.Epoch >= s.epoch.Load() {
+			s.epoch.Store(known.Epoch + 1)
+		}
+	})
+	return nil
+}
+
+func (s *Server) member() view.Member {
+	settings := s.cfg.Settings
+	return view.Member{
+		Node:   settings.Name,
+		Epoch:  s.epoch.Load(),
+		Center: settings.Center,
+		Region: settings.Region,
+		Addr:   settings.Peer,
+		Reach:  view.Up,
+	}
+}
+
+// submit runs a command at the leader; every command may be sent again.
+func (s *Server) submit(ctx context.Context, c store.Command) (store.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, _submitTimeout)
+	defer cancel()
+	for {
+		reply, err := s.callControl(ctx, proto.Submit{Command: c})
+		out, _ := reply.(proto.Outcome)
+		if result, ok := out.Result.(store.Result); ok && err == nil {
+			return result, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Errorf("submit %T: %w", c, ErrControl)
+		case <-time.After(_tick):
+		}
+	}
+}
+
+// callControl asks the known leader, or the control hosts in turn.
+func (s *Server) callControl(ctx context.Context, msg any) (any, error) {
+	hosts := s.cfg.Settings.Control
+	for range len(hosts) + 1 {
+		addr := s.leaderAddr()
+		reply, err := s.call(ctx, addr, msg)
+		if err != nil {
+			s.followLeader("")
+			continue
+		}
+		leader, elsewhere := leaderIn(reply)
+		if !elsewhere {
+			return reply, nil
+		}
+		s.followLeader(leader)
+	}
+	return nil, ErrControl
+}
+
+// leaderIn returns the leader that an answer names instead of answering.
+func leaderIn(reply any) (string, bool) {
+	switch reply := reply.(type) {
+	case proto.Outcome:
+		return reply.Leader, reply.Result == nil
+	case proto.BeatReply:
+		return reply.Leader, !reply.Led
+	}
+	return "", false
+}
+
+func (s *Server) leaderAddr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leader != "" {
+		return s.leader
+	}
+	hosts := s.cfg.Settings.Control
+	return hosts[s.turn.Add(1)%uint64(len(hosts))]
+}
+
+func (s *Server) followLeader(addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leader = addr
+}
+
+func (s *Server) call(ctx context.Context, addr string, msg any) (any, error) {
+	ctx, cancel := context.WithTimeout(ctx, _callTimeout)
+	defer cancel()
+	return s.client.Call(ctx, addr, msg)
+}
--- /dev/null
+++ b/node/detect.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damaskpitch/damaskpitch/gate"
+	"github.com/damaskpitch/damaskpitch/judge"
+	"github.com/damaskpitch/damaskpitch/ledger"
+	"github.com/damaskpitch/damaskpitch/route"
+	"github.com/damaskpitch/damaskpitch/spec"
+	"github.com/damaskpitch/damaskpitch/store"
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+const (
+	_stallFactor = 8
+	_quickStall  = 500 * time.Millisecond
+	_sureStall   = 2 * time.Second
+)
+
+// workOutcome is how a request at an instance ended.
+type workOutcome uint8
+
+const (
+	workDone workOutcome = iota
+	workFailed
+	workCancelled
+)
+
+// outcomeOf blames the instance unless the caller's side ended the request.
+func outcomeOf(ctx context.Context, err error) workOutcome {
+	if errors.Is(ctx.Err(), context.Canceled) && errors.Is(err, context.Canceled) {
+		return workCancelled
+	}
+	return workFailed
+}
+
+// begin puts a started request on the instance's record.
+func (s *Server) begin(id string, ref ledger.Ref) (*http.Transport, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.backs[id]
+	if b == nil {
+		return nil, ""
+	}
+	b.running[ref] = &work{since: s.now(), stalls: s.now() + b.stall(0)}
+	return b.transport, b.instance.Addr
+}
+
+// end takes a request off the instance's record and judges it.
+func (s *Server) end(id string, ref ledger.Ref, outcome workOutcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.backs[id]
+	if b == nil || b.running[ref] == nil {
+		return
+	}
+	since := b.running[ref].since
+	delete(b.running, ref)
+	if outcome == workCancelled {
+		return
+	}
+	s.judgeLocked(b, judge.WorkMsg{At: s.now(), Took: s.now() - since, Failed: outcome == workFailed})
+}
+
+// hint takes what an ingress sees of the whole service.
+func (s *Server) hint(id string, h route.Hint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b := s.backs[id]; b != nil {
+		s.judgeLocked(b, judge.HintMsg{At: s.now(), Median: h.Median, Failing: h.Failing})
+	}
+}
+
+// judgeAll counts stalls and lets holds run out.
+func (s *Server) judgeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.backs {
+		for _, w := range b.running {
+			if s.now() >= w.stalls {
+				w.stalls = s.now() + b.stall(b.judge.Median())
+				s.judgeLocked(b, judge.StallMsg{At: s.now()})
+			}
+		}
+		s.judgeLocked(b, judge.ClockMsg{At: s.now()})
+	}
+}
+
+func (b *backend) stall(median time.Duration) time.Duration {
+	least := _sureStall
+	if b.patience == spec.Quick {
+		least = _quickStall
+	}
+	return max(least, _stallFactor*median)
+}
+
+func (s *Server) judgeLocked(b *backend, msg judge.Msg) {
+	model, cmds := b.judge.Update(msg)
+	b.judge = model
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case judge.EjectCmd:
+			go s.eject(b, cmd)
+		case judge.RestoreCmd:
+			s.tellLocked(gate.RestoreMsg{ID: b.instance.ID, At: s.now()})
+			go s.restore(b)
+		}
+	}
+}
+
+// eject asks the arbiter; the hold is counted from before the question, so it
+// ends before the arbiter's lease does.
+func (s *Server) eject(b *backend, cmd judge.EjectCmd) {
+	at := s.now()
+	result, err := s.submit(context.Background(), store.Eject{
+		Key: s.key(b), Epoch: s.epoch.Load(), TTL: cmd.For,
+	})
+	granted, ok := result.(store.Granted)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil || !ok {
+		s.stats.denied.Inc(1)
+		s.log.Warn("ejection refused", slog.String("instance", b.instance.ID),
+			slog.String("reason", string(cmd.Reason)), slog.Any("result", result), slog.Any("error", err))
+		s.judgeLocked(b, judge.DenyMsg{At: s.now()})
+		return
+	}
+	s.stats.ejections.Inc(1)
+	s.log.Warn("ejected", slog.String("instance", b.instance.ID), slog.String("reason", string(cmd.Reason)),
+		slog.Duration("hold", cmd.For), slog.Int("left", granted.Left))
+	s.judgeLocked(b, judge.GrantMsg{At: at})
+	s.tellLocked(gate.EjectMsg{ID: b.instance.ID, Until: at + cmd.For})
+}
+
+func (s *Server) restore(b *backend) {
+	_, err := s.submit(context.Background(), store.Restore{Key: s.key(b), Epoch: s.epoch.Load()})
+	s.log.Info("restored", slog.String("instance", b.instance.ID), slog.Any("error", err))
+}
+
+func (s *Server) key(b *backend) view.Key {
+	return view.Key{Node: s.cfg.Settings.Name, ID: b.instance.ID}
+}
--- /dev/null
+++ b/node/fleet.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"sync"
+
+	"github.com/damaskpitch/damaskpitch/retry"
+	"github.com/damaskpitch/damaskpitch/route"
+	"github.com/damaskpitch/damaskpitch/spec"
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+// fleet is what requests need of the view: it is replaced piece by piece as
+// the view moves.
+type fleet struct {
+	center string
+
+	mu       sync.RWMutex
+	table    *route.Table
+	services map[string]*service
+}
+
+// service is one service as this ingress knows it.
+type service struct {
+	mu     sync.Mutex
+	spec   spec.Service
+	pool   route.Pool
+	book   *route.Book
+	budget retry.Budget
+}
+
+func newFleet(center string) *fleet {
+	return &fleet{center: center, table: route.NewTable(nil), services: map[string]*service{}}
+}
+
+// find returns the match of a request and its service.
+func (f *fleet) find(host, method, path string) (route.Match, *service, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	match, ok := f.table.Find(host, method, path)
+	if !ok {
+		return match, nil, false
+	}
+	s := f.services[match.Service.Name]
+	return match, s, s != nil
+}
+
+// spec returns a service's declaration, or the defaults while there is none.
+func (f *fleet) spec(name string) spec.Service {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if s := f.services[name]; s != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.spec
+	}
+	return spec.Service{Name: name}.WithDefaults()
+}
+
+// update follows the view in the given services, or in all of them.
+func (f *fleet) update(v *view.View, names []string, all bool) {
+	candidates := f.candidates(v, names, all)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if all {
+		names = nil
+		for _, s := range v.Services() {
+			names = append(names, s.Service.Name)
+		}
+		for name := range f.services {
+			if _, ok := v.Service(name); !ok {
+				names = append(names, name)
+			}
+		}
+	}
+	routes := all
+	for _, name := range names {
+		routes = f.updateService(v, name, candidates[name]) || routes
+	}
+	if routes {
+		f.rebuild(v)
+	}
+}
+
+// updateService reports whether the service's declaration changed.
+func (f *fleet) updateService(v *view.View, name string, list []route.Candidate) bool {
+	declared, ok := v.Service(name)
+	s := f.services[name]
+	if !ok {
+		delete(f.services, name)
+		return s != nil
+	}
+	if s == nil {
+		s = &service{book: route.NewBook()}
+		f.services[name] = s
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := !sameRoutes(s.spec, declared.Service)
+	s.spec = declared.Service
+	s.pool = route.NewPool(declared, f.center, list)
+	s.book.Keep(s.pool)
+	return changed
+}
+
+func (f *fleet) rebuild(v *view.View) {
+	services := v.Services()
+	list := make([]spec.Service, 0, len(services))
+	for _, s := range services {
+		list = append(list, s.Service)
+	}
+	f.table = route.NewTable(list)
+}
+
+// candidates lists the instances of the touched services in one pass.
+func (f *fleet) candidates(v *view.View, names []string, all bool) map[string][]route.Candidate {
+	wanted := make(map[string]bool, len(names))
+	for _, name := range names {
+		wanted[name] = true
+	}
+	lists := map[string][]route.Candidate{}
+	for _, m := range v.Members() {
+		for _, i := range v.InstancesOf(m.Node) {
+			if !all && !wanted[i.Service] {
+				continue
+			}
+			key := view.Key{Node: m.Node, ID: i.ID}
+			lists[i.Service] = append(lists[i.Service], route.Candidate{
+				Key:    key,
+				Center: m.Center,
+				Addr:   m.Addr,
+				Epoch:  m.Epoch,
+				Out:    i.Leaving || m.Reach == view.Unreachable || v.Ejected(key),
+			})
+		}
+	}
+	return lists
+}
+
+func sameRoutes(a, b spec.Service) bool {
+	if len(a.Routes) != len(b.Routes) || a.Name != b.Name {
+		return false
+	}
+	for i := range a.Routes {
+		if a.Routes[i] != b.Routes[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/node/follow.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/proto"
+	"github.com/damaskpitch/damaskpitch/spread"
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+const _pullMargin = 2 * time.Second
+
+// follower runs the spread model: its loop owns the view.
+type follower struct {
+	server *Server
+	model  spread.Model
+	inbox  chan spread.Msg
+	asks   chan ask
+}
+
+// ask calls a function with the model inside the loop.
+type ask struct {
+	call func(m spread.Model)
+	done chan struct{}
+}
+
+func newFollower(s *Server) *follower {
+	settings := s.cfg.Settings
+	return &follower{
+		server: s,
+		model: spread.New(spread.Config{
+			Node:    settings.Name,
+			Addr:    settings.Peer,
+			Control: settings.Control,
+			Seeds:   settings.Seeds,
+		}),
+		inbox: make(chan spread.Msg, 16),
+		asks:  make(chan ask),
+	}
+}
+
+func (f *follower) run(ctx context.Context) error {
+	ticker := time.NewTicker(_tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case a := <-f.asks:
+			a.call(f.model)
+			close(a.done)
+		case msg := <-f.inbox:
+			f.update(ctx, msg)
+		case <-ticker.C:
+			f.update(ctx, spread.TickMsg{At: f.server.now()})
+		}
+	}
+}
+
+// with calls the function with the model, unless the context ends first.
+func (f *follower) with(ctx context.Context, call func(m spread.Model)) bool {
+	a := ask{call: call, done: make(chan struct{})}
+	select {
+	case f.asks <- a:
+		<-a.done
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (f *follower) update(ctx context.Context, msg spread.Msg) {
+	model, cmds := f.model.Update(msg)
+	f.model = model
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case spread.PullCmd:
+			go f.pull(ctx, cmd)
+		case spread.AppliedCmd:
+			f.server.fleet.update(f.model.View(), cmd.Services, cmd.All)
+			f.server.applied(f.model.View(), cmd)
+		case spread.RejectCmd:
+			f.server.log.Error("source of another fleet refused",
+				slog.String("addr", cmd.Addr), slog.Uint64("cluster", cmd.Cluster))
+		}
+	}
+}
+
+func (f *follower) pull(ctx context.Context, cmd spread.PullCmd) {
+	callCtx, cancel := context.WithTimeout(ctx, cmd.Pull.Wait+_pullMargin)
+	defer cancel()
+	reply, err := f.server.client.Call(callCtx, cmd.Addr, cmd.Pull)
+	var msg spread.Msg = spread.FailMsg{At: f.server.now(), Source: cmd.Source, Addr: cmd.Addr}
+	if delta, ok := reply.(proto.Delta); ok && err == nil {
+		msg = spread.DeltaMsg{At: f.server.now(), Source: cmd.Source, Addr: cmd.Addr, Delta: delta}
+	}
+	select {
+	case f.inbox <- msg:
+	case <-ctx.Done():
+	}
+}
+
+// applied follows what the view says of this node's own instances.
+func (s *Server) applied(v *view.View, cmd spread.AppliedCmd) {
+	s.stats.rev.Update(float64(cmd.Rev))
+	s.log.Info("view", slog.Uint64("rev", cmd.Rev), slog.Any("services", cmd.Services), slog.Bool("all", cmd.All))
+	s.limitAll()
+	if member, ok := v.Member(s.cfg.Settings.Name); !ok || member.Epoch != s.epoch.Load() {
+		s.hurry()
+	}
+}
--- /dev/null
+++ b/node/ingress.go
@@ -0,0 +1,218 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damaskpitch/damaskpitch/retry"
+	"github.com/damaskpitch/damaskpitch/route"
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+const (
+	_maxReplay = 64 << 10
+	_maxID     = 128
+)
+
+// exchange is one caller's request; it lives until the answer is complete.
+type exchange struct {
+	server   *Server
+	id       string
+	caller   string
+	match    route.Match
+	service  *service
+	w        http.ResponseWriter
+	r        *http.Request
+	header   http.Header
+	body     []byte
+	rest     io.Reader
+	deadline time.Time
+	tries    int
+	tried    []view.Key
+	answered bool
+}
+
+// serveCaller takes one request from a caller.
+func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request) {
+	s.stats.requests.Inc(1)
+	match, service, ok := s.fleet.find(r.Host, r.Method, r.URL.Path)
+	if !ok {
+		refuse(w, http.StatusNotFound, "no route")
+		return
+	}
+	e := &exchange{
+		server:  s,
+		match:   match,
+		service: service,
+		w:       w,
+		r:       r,
+		header:  cleanHeader(r.Header),
+		id:      requestID(r),
+		caller:  callerOf(r),
+	}
+	e.header.Set(HeaderRequest, e.id)
+	w.Header().Set(HeaderRequest, e.id)
+	timeout := match.Service.Timeout.Std()
+	if asked, ok := parseMillis(r.Header.Get(HeaderTimeout)); ok && asked > 0 {
+		timeout = min(timeout, asked)
+	}
+	e.deadline = time.Now().Add(timeout)
+	ctx, cancel := context.WithDeadline(r.Context(), e.deadline)
+	defer cancel()
+	if err := e.readBody(); err != nil {
+		refuse(w, http.StatusBadRequest, "body: "+err.Error())
+		return
+	}
+	service.mu.Lock()
+	service.budget = service.budget.First()
+	service.mu.Unlock()
+	if match.Route.Once && r.Header.Get(HeaderKey) != "" {
+		e.serveKeyed(ctx)
+		return
+	}
+	e.deliver(e.run(ctx))
+}
+
+// readBody keeps a short body, so that it can be sent again.
+func (e *exchange) readBody() error {
+	if e.r.Body == nil || e.r.Body == http.NoBody {
+		return nil
+	}
+	head, err := io.ReadAll(io.LimitReader(e.r.Body, _maxReplay+1))
+	if err != nil {
+		return errors.Errorf("read: %w", err)
+	}
+	e.body = head
+	if len(head) > _maxReplay {
+		e.rest = e.r.Body
+	}
+	return nil
+}
+
+func (e *exchange) replayable() bool {
+	return e.rest == nil
+}
+
+// newBody returns the request's body for one attempt.
+func (e *exchange) newBody() (io.Reader, int64) {
+	if e.rest != nil {
+		return io.MultiReader(bytes.NewReader(e.body), e.rest), e.r.ContentLength
+	}
+	if len(e.body) == 0 {
+		return http.NoBody, 0
+	}
+	return bytes.NewReader(e.body), int64(len(e.body))
+}
+
+// run makes attempts until one is answered or none may follow.
+func (e *exchange) run(ctx context.Context) *result {
+	for {
+		e.tries++
+		res := e.attempt(ctx)
+		verdict := retry.Decide(retry.Attempt{
+			Fate:       res.fate,
+			Once:       e.match.Route.Once,
+			Replayable: e.replayable(),
+			Tries:      e.tries,
+			Left:       time.Until(e.deadline),
+		})
+		if !verdict.Again || res.final || ctx.Err() != nil {
+			return res
+		}
+		if !res.free && !e.spend() {
+			e.server.log.Info("retry", slog.String("request", e.id), slog.String("reason", "budget"))
+			return res
+		}
+		e.server.stats.retries.Inc(1)
+		res.discard()
+	}
+}
+
+func (e *exchange) spend() bool {
+	e.service.mu.Lock()
+	defer e.service.mu.Unlock()
+	budget, ok := e.service.budget.Spend()
+	e.service.budget = budget
+	return ok
+}
+
+// deliver hands the result to the caller.
+func (e *exchange) deliver(res *result) {
+	if res.response != nil && res.fate == retry.Ran {
+		e.copyAnswer(res)
+		return
+	}
+	res.discard()
+	e.answered = true
+	switch res.fate {
+	case retry.NotRun:
+		e.server.stats.refused.Inc(1)
+		e.w.Header().Set("Retry-After", "1")
+		refuse(e.w, http.StatusServiceUnavailable, res.reason)
+	default:
+		e.server.stats.unknown.Inc(1)
+		e.w.Header().Set(HeaderOutcome, "unknown")
+		e.w.Header().Set(HeaderReason, res.reason)
+		http.Error(e.w, "the request may have run: "+res.reason, http.StatusGatewayTimeout)
+	}
+}
+
+// refuse tells a caller that the request was not run.
+func refuse(w http.ResponseWriter, status int, reason string) {
+	w.Header().Set(HeaderOutcome, "not-run")
+	w.Header().Set(HeaderReason, reason)
+	http.Error(w, "the request was not run: "+reason, status)
+}
+
+func requestID(r *http.Request) string {
+	id := r.Header.Get(HeaderRequest)
+	if id != "" && len(id) <= _maxID {
+		return id
+	}
+	return rand.Text()
+}
+
+func callerOf(r *http.Request) string {
+	if name := r.Header.Get(HeaderCaller); name != "" {
+		return name
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// logChoice writes one line for a routing decision.
+func (e *exchange) logChoice(ctx context.Context, c route.Choice) {
+	sample := max(1, e.server.cfg.Settings.Log.Sample)
+	if sample > 1 && e.server.seq.Load()%uint64(sample) != 0 {
+		return
+	}
+	e.server.log.LogAttrs(ctx, slog.LevelInfo, "route",
+		slog.String("request", e.id),
+		slog.String("service", e.match.Service.Name),
+		slog.String("instance", c.Candidate.Key.ID),
+		slog.String("host", c.Candidate.Key.Node),
+		slog.String("center", c.Candidate.Center),
+		slog.String("reason", string(c.Why)),
+		slog.Int("considered", c.Considered),
+		slog.Int("busy", c.Load.Busy),
+		slog.Int("try", e.tries))
+}
+
+// randomBits mixes the attempt's count into bits for a choice.
+func randomBits(seq uint64) uint64 {
+	seq *= 0x9E3779B97F4A7C15
+	seq ^= seq >> 29
+	return seq & math.MaxUint64
+}
--- /dev/null
+++ b/node/listen.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/bpf"
+	"golang.org/x/sys/unix"
+)
+
+const _acceptDrain = 300 * time.Millisecond
+
+// listen opens an address that a successor may open too, so that a restart
+// refuses nobody.
+func listen(ctx context.Context, addr string) (*net.TCPListener, error) {
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		})
+		return errors.CombineErrors(err, failed)
+	}}
+	l, err := lc.Listen(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Errorf("listen on %s: %w", addr, err)
+	}
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil, errors.Newf("listen on %s: no TCP", addr)
+	}
+	return tcp, nil
+}
+
+// yield steers new connections to the successor, which listens second.
+func yield(l *net.TCPListener) error {
+	program, err := bpf.Assemble([]bpf.Instruction{bpf.RetConstant{Val: 1}})
+	if err != nil {
+		return errors.Errorf("assemble filter: %w", err)
+	}
+	filter := make([]unix.SockFilter, 0, len(program))
+	for _, i := range program {
+		filter = append(filter, unix.SockFilter{Code: i.Op, Jt: i.Jt, Jf: i.Jf, K: i.K})
+	}
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return errors.Errorf("reach listener: %w", err)
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF,
+			&unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]})
+	})
+	return errors.CombineErrors(err, failed)
+}
+
+// serve runs one listener until the context ends, and then finishes what is
+// in flight.
+func (s *Server) serve(ctx context.Context, addr string, h http.Handler) error {
+	l, err := listen(ctx, addr)
+	if err != nil {
+		return err
+	}
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{
+		Handler:           h,
+		Protocols:         &protocols,
+		ReadHeaderTimeout: _headerTimeout,
+		IdleTimeout:       _idleTimeout,
+		MaxHeaderBytes:    _maxHeader,
+		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
+	}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(l) }()
+	select {
+	case err := <-done:
+		return errors.Errorf("serve on %s: %w", addr, err)
+	case <-ctx.Done():
+	}
+	return s.drain(server, l, addr)
+}
+
+// drain stops taking connections without dropping one that was already made.
+func (s *Server) drain(server *http.Server, l *net.TCPListener, addr string) error {
+	server.SetKeepAlivesEnabled(false)
+	if err := yield(l); err != nil {
+		s.log.Warn("steer new connections to the successor", slog.String("addr", addr), slog.Any("error", err))
+	}
+	time.Sleep(_acceptDrain)
+	ctx, cancel := context.WithTimeout(context.Background(), _drainTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		return errors.Errorf("drain %s: %w", addr, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/node/owner.go
@@ -0,0 +1,309 @@
+package node
+
+import (
+	"context"
+	"crypto/subtle"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damaskpitch/damaskpitch/gate"
+	"github.com/damaskpitch/damaskpitch/ledger"
+	"github.com/damaskpitch/damaskpitch/proto"
+	"github.com/damaskpitch/damaskpitch/retry"
+	"github.com/damaskpitch/damaskpitch/spread"
+	"github.com/damaskpitch/damaskpitch/wire"
+)
+
+const (
+	_reasonEpoch = "epoch"
+	_queueShare  = 2
+)
+
+// peerHandler serves other nodes and control hosts.
+func (s *Server) peerHandler() http.Handler {
+	rpc := wire.Serve(s.cfg.Settings.Key, proto.Codec, s.handle)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(_headerAttempt) == "" {
+			rpc.ServeHTTP(w, r)
+			return
+		}
+		s.serveAttempt(w, r)
+	})
+}
+
+func (s *Server) handle(ctx context.Context, msg any) (any, error) {
+	switch msg := msg.(type) {
+	case proto.Inquire:
+		return s.answerInquiry(msg), nil
+	case proto.Pull:
+		var delta proto.Delta
+		if !s.follow.with(ctx, func(m spread.Model) { delta = m.Answer(msg) }) {
+			return nil, ctx.Err()
+		}
+		return delta, nil
+	case proto.Probe:
+		_, err := s.call(ctx, msg.Addr, proto.Hello{})
+		return proto.Probed{Reached: err == nil}, nil
+	case proto.Hello:
+		return proto.Greeting{Name: s.cfg.Settings.Name, ID: s.epoch.Load()}, nil
+	case proto.Inherit:
+		return s.bequeath(ctx)
+	}
+	return nil, errors.Newf("unexpected message %T", msg)
+}
+
+func (s *Server) answerInquiry(msg proto.Inquire) proto.Fate {
+	if msg.Owner != s.epoch.Load() {
+		return proto.Fate{State: ledger.Forgotten}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !msg.Revoke {
+		return proto.Fate{State: s.gate.State(msg.Attempt)}
+	}
+	for _, cmd := range s.tellLocked(gate.RevokeMsg{ID: msg.Instance, Ref: msg.Attempt, At: s.now()}) {
+		if fate, ok := cmd.(gate.FateCmd); ok {
+			return proto.Fate{State: fate.State}
+		}
+	}
+	return proto.Fate{State: ledger.Forgotten}
+}
+
+// serveAttempt is the gate before an instance: it runs an attempt or proves
+// that it never will.
+func (s *Server) serveAttempt(w http.ResponseWriter, r *http.Request) {
+	secret := []byte(r.Header.Get(_headerSecret))
+	if subtle.ConstantTimeCompare(secret, []byte(s.cfg.Settings.Key)) != 1 {
+		http.Error(w, "wrong key", http.StatusUnauthorized)
+		return
+	}
+	ref, err := parseRef(r.Header.Get(_headerAttempt))
+	left, ok := parseMillis(r.Header.Get(_headerLeft))
+	if err != nil || !ok {
+		http.Error(w, "malformed attempt", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set(_headerAttempt, ref.String())
+	if r.Header.Get(_headerOwner) != strconv.FormatUint(s.epoch.Load(), 10) {
+		w.Header().Set(_headerOwner, strconv.FormatUint(s.epoch.Load(), 10))
+		s.notRun(w, _reasonEpoch)
+		return
+	}
+	if hint, ok := parseHint(r.Header.Get(_headerHint)); ok {
+		s.hint(r.Header.Get(_headerInstance), hint)
+	}
+	job := &job{server: s, w: w, r: r, ref: ref, id: r.Header.Get(_headerInstance), left: left}
+	job.serve()
+}
+
+func (s *Server) notRun(w http.ResponseWriter, reason string) {
+	w.Header().Set(_headerFate, string(retry.NotRun))
+	w.Header().Set(HeaderReason, reason)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// job is one attempt at the owner.
+type job struct {
+	server *Server
+	w      http.ResponseWriter
+	r      *http.Request
+	ref    ledger.Ref
+	id     string
+	left   time.Duration
+}
+
+func (j *job) serve() {
+	ctx, cancel := context.WithTimeout(j.r.Context(), j.left)
+	defer cancel()
+	switch cmd := j.admit(ctx).(type) {
+	case gate.StartCmd:
+		j.run(ctx)
+	case gate.RefuseCmd:
+		j.setLoad()
+		j.server.notRun(j.w, string(cmd.Reason))
+	case gate.DoubtCmd:
+		j.w.Header().Set(_headerFate, string(retry.Unknown))
+		j.w.Header().Set(HeaderReason, "repeated: "+string(cmd.State))
+		j.w.WriteHeader(http.StatusConflict)
+	}
+}
+
+// admit waits for the gate's decision.
+func (j *job) admit(ctx context.Context) gate.Cmd {
+	s := j.server
+	decided := make(chan gate.Cmd, 1)
+	s.mu.Lock()
+	_, taken := s.waiting[j.ref]
+	if !taken {
+		s.waiting[j.ref] = decided
+	}
+	cmds := s.tellLocked(gate.AdmitMsg{
+		ID:     j.id,
+		Ref:    j.ref,
+		Caller: j.r.Header.Get(HeaderCaller),
+		At:     s.now(),
+		Until:  s.now() + j.left/_queueShare,
+	})
+	for _, cmd := range cmds {
+		if doubt, ok := cmd.(gate.DoubtCmd); ok {
+			if !taken {
+				delete(s.waiting, j.ref)
+			}
+			s.mu.Unlock()
+			return doubt
+		}
+	}
+	s.mu.Unlock()
+	select {
+	case cmd := <-decided:
+		return cmd
+	case <-ctx.Done():
+		s.tell(gate.RevokeMsg{ID: j.id, Ref: j.ref, At: s.now()})
+		return <-decided
+	}
+}
+
+// run sends the attempt to the instance; it is on record as started.
+func (j *job) run(ctx context.Context) {
+	s := j.server
+	s.stats.started.Inc(1)
+	transport, addr := s.begin(j.id, j.ref)
+	defer func() { s.tell(gate.DoneMsg{ID: j.id, Ref: j.ref, At: s.now()}) }()
+	if transport == nil {
+		s.notRun(j.w, string(gate.NoInstance))
+		return
+	}
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	started := s.now()
+	response, err := transport.RoundTrip(j.request(traced, addr))
+	if err != nil {
+		s.end(j.id, j.ref, outcomeOf(ctx, err))
+		j.unanswered(connected.Load(), err)
+		return
+	}
+	defer response.Body.Close()
+	if reason := suspicious(response, j.r); reason != "" {
+		s.end(j.id, j.ref, workFailed)
+		j.unanswered(true, errors.New(reason))
+		return
+	}
+	j.answer(ctx, response, s.now()-started)
+}
+
+func (j *job) request(ctx context.Context, addr string) *http.Request {
+	u := *j.r.URL
+	u.Scheme = "http"
+	u.Host = addr
+	r := &http.Request{
+		Method:        j.r.Method,
+		URL:           &u,
+		Host:          j.r.Host,
+		Header:        cleanHeader(j.r.Header),
+		Body:          j.r.Body,
+		ContentLength: j.r.ContentLength,
+	}
+	if r.ContentLength == 0 {
+		r.Body = http.NoBody
+	}
+	r.Header.Set("Request-Timeout", formatMillis(j.left))
+	return r.WithContext(ctx)
+}
+
+// unanswered tells the ingress what became of the attempt.
+func (j *job) unanswered(connected bool, err error) {
+	j.server.log.Info("no answer",
+		slog.String("instance", j.id), slog.String("attempt", j.ref.String()), slog.Any("error", err))
+	j.setLoad()
+	if !connected {
+		j.server.notRun(j.w, "no connection to the backend server")
+		return
+	}
+	j.w.Header().Set(_headerFate, string(retry.Unknown))
+	j.w.Header().Set(HeaderReason, "backend server: "+err.Error())
+	j.w.WriteHeader(http.StatusBadGateway)
+}
+
+// answer streams the instance's answer, or ends the connection in the middle.
+func (j *job) answer(ctx context.Context, response *http.Response, took time.Duration) {
+	out := j.w.Header()
+	for name, values := range cleanHeader(response.Header) {
+		out[name] = values
+	}
+	out.Set(_headerFate, string(retry.Ran))
+	out.Set(_headerTook, strconv.FormatInt(took.Microseconds(), 10))
+	if response.ContentLength >= 0 {
+		out.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	j.setLoad()
+	j.w.WriteHeader(response.StatusCode)
+	err := stream(j.w, response.Body)
+	outcome := workDone
+	switch {
+	case errors.Is(err, errCaller):
+		outcome = workCancelled
+	case err != nil:
+		outcome = outcomeOf(ctx, err)
+	case failedStatus(response):
+		outcome = workFailed
+	}
+	j.server.end(j.id, j.ref, outcome)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// errCaller says that it was the caller's side that went away.
+var errCaller = errors.New("caller went away")
+
+// stream copies an answer as it comes.
+func stream(w http.ResponseWriter, body io.Reader) error {
+	buffer := make([]byte, _copyBuffer)
+	flusher := http.NewResponseController(w)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if _, werr := w.Write(buffer[:n]); werr != nil || flusher.Flush() != nil {
+				return errCaller
+			}
+		}
+		if err == io.EOF { //nolint:errorlint // the reader returns it bare
+			return nil
+		}
+		if err != nil {
+			return errors.Errorf("read answer: %w", err)
+		}
+	}
+}
+
+// suspicious finds an answer that may not be whole or not this request's.
+func suspicious(response *http.Response, r *http.Request) string {
+	if id := response.Header.Get(HeaderRequest); id != "" && id != r.Header.Get(HeaderRequest) {
+		return "answer to another request"
+	}
+	chunked := len(response.TransferEncoding) > 0
+	if response.ContentLength < 0 && !chunked && r.Method != http.MethodHead {
+		return "answer without a length"
+	}
+	return ""
+}
+
+func (j *job) setLoad() {
+	s := j.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load := s.gate.Load(j.id, s.now())
+	j.w.Header().Set(_headerLoad, strconv.Itoa(load.Running+load.Queued)+"/"+strconv.Itoa(load.Slots))
+	if b := s.backs[j.id]; b != nil && b.judge.Sick() {
+		j.w.Header().Set(_headerSick, "1")
+	}
+}
--- /dev/null
+++ b/node/paths.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	_dialTimeout  = time.Second
+	_pathIdle     = 30 * time.Second
+	_pathMaxIdle  = 64
+	_silentFactor = 8
+	_silentLeast  = 250 * time.Millisecond
+	_pathBlock    = 2 * time.Second
+)
+
+// paths keeps the connections to owners, apart for each address, so that all
+// connections to one of them can be closed when they are in doubt.
+type paths struct {
+	mu         sync.Mutex
+	transports map[string]*http.Transport
+}
+
+func newPaths() *paths {
+	return &paths{transports: map[string]*http.Transport{}}
+}
+
+func (p *paths) transport(addr string) *http.Transport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.transports[addr]
+	if !ok {
+		dialer := &net.Dialer{Timeout: _dialTimeout}
+		t = &http.Transport{
+			DialContext:         dialer.DialContext,
+			IdleConnTimeout:     _pathIdle,
+			MaxIdleConnsPerHost: _pathMaxIdle,
+			DisableCompression:  true,
+		}
+		p.transports[addr] = t
+	}
+	return t
+}
+
+// doubt closes every idle connection to an address and uses none of the busy
+// ones again.
+func (p *paths) doubt(addr string) {
+	p.mu.Lock()
+	t, ok := p.transports[addr]
+	delete(p.transports, addr)
+	p.mu.Unlock()
+	if ok {
+		t.CloseIdleConnections()
+	}
+}
+
+func (p *paths) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.transports {
+		t.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/node/stats.go
@@ -0,0 +1,36 @@
+package node
+
+import "github.com/uber-go/tally/v4"
+
+// stats are the node's counters.
+type stats struct {
+	requests  tally.Counter
+	attempts  tally.Counter
+	retries   tally.Counter
+	refused   tally.Counter
+	unknown   tally.Counter
+	broken    tally.Counter
+	resumed   tally.Counter
+	silent    tally.Counter
+	ejections tally.Counter
+	denied    tally.Counter
+	started   tally.Counter
+	rev       tally.Gauge
+}
+
+func newStats(scope tally.Scope) stats {
+	return stats{
+		requests:  scope.Counter("requests"),
+		attempts:  scope.Counter("attempts"),
+		retries:   scope.Counter("retries"),
+		refused:   scope.Counter("refused"),
+		unknown:   scope.Counter("unknown"),
+		broken:    scope.Counter("broken"),
+		resumed:   scope.Counter("resumed"),
+		silent:    scope.Counter("silent"),
+		ejections: scope.Counter("ejections"),
+		denied:    scope.Counter("denied"),
+		started:   scope.Counter("started"),
+		rev:       scope.Gauge("revision"),
+	}
+}
--- /dev/null
+++ b/raft/log.go
@@ -0,0 +1,89 @@
+package raft
+
+// log holds the entries after the snapshot.
+type log struct {
+	snapshot Snapshot
+	entries  []Entry
+}
+
+func (l *log) first() uint64 {
+	return l.snapshot.Index + 1
+}
+
+func (l *log) last() uint64 {
+	return l.snapshot.Index + uint64(len(l.entries))
+}
+
+// term returns the term at an index, or false if it is not held.
+func (l *log) term(index uint64) (uint64, bool) {
+	if index == l.snapshot.Index {
+		return l.snapshot.Term, true
+	}
+	if index < l.first() || index > l.last() {
+		return 0, false
+	}
+	return l.entries[index-l.first()].Term, true
+}
+
+func (l *log) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// slice returns at most n entries from an index on.
+func (l *log) slice(from uint64, n int) []Entry {
+	if from > l.last() {
+		return nil
+	}
+	entries := l.entries[from-l.first():]
+	if len(entries) > n {
+		entries = entries[:n]
+	}
+	return append([]Entry(nil), entries...)
+}
+
+// upTo returns the entries after one index up to another.
+func (l *log) upTo(after, index uint64) []Entry {
+	return l.slice(after+1, int(index-after))
+}
+
+func (l *log) append(entries []Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	keep := int(entries[0].Index - l.first())
+	if keep < len(l.entries) {
+		l.entries = l.entries[:keep:keep]
+	}
+	l.entries = append(l.entries, entries...)
+}
+
+func (l *log) compact(s Snapshot) {
+	l.entries = append([]Entry(nil), l.entries[s.Index-l.snapshot.Index:]...)
+	l.snapshot = s
+}
+
+func (l *log) reset(s Snapshot) {
+	l.entries = nil
+	l.snapshot = s
+}
+
+// peers returns the newest list of peers in the log.
+func (l *log) peers() ([]Peer, uint64) {
+	for i := len(l.entries) - 1; i >= 0; i-- {
+		if l.entries[i].Kind == Members {
+			return l.entries[i].Peers, l.entries[i].Index
+		}
+	}
+	return l.snapshot.Peers, l.snapshot.Index
+}
+
+// peersAt returns the list of peers that holds at an index.
+func (l *log) peersAt(index uint64) []Peer {
+	for i := len(l.entries) - 1; i >= 0; i-- {
+		if l.entries[i].Kind == Members && l.entries[i].Index <= index {
+			return l.entries[i].Peers
+		}
+	}
+	return l.snapshot.Peers
+}
--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,60 @@
+package retry
+
+import "time"
+
+// Fate is what is known of an attempt.
+type Fate string
+
+const (
+	// Ran means that the attempt ran and its answer came.
+	Ran Fate = "ran"
+	// NotRun means that the attempt is proven never to run.
+	NotRun Fate = "notrun"
+	// Unknown means that the attempt may have run.
+	Unknown Fate = "unknown"
+)
+
+const (
+	_maxTries = 4
+	_minLeft  = 2 * time.Millisecond
+)
+
+// Attempt is what the decision needs to know.
+type Attempt struct {
+	Fate Fate
+	// Once marks a request that is not idempotent.
+	Once bool
+	// Replayable says that the request's body can be sent again.
+	Replayable bool
+	// Answered says that bytes of an answer went to the caller.
+	Answered bool
+	// Tries is the number of attempts so far.
+	Tries int
+	// Left is the time until the deadline.
+	Left time.Duration
+}
+
+// Verdict is the decision and its reason.
+type Verdict struct {
+	Again  bool
+	Reason string
+}
+
+// Decide says whether another attempt may follow.
+func Decide(a Attempt) Verdict {
+	switch {
+	case a.Answered:
+		return Verdict{Reason: "answer begun"}
+	case a.Fate == Ran:
+		return Verdict{Reason: "answered"}
+	case a.Fate == Unknown && a.Once:
+		return Verdict{Reason: "may have run"}
+	case !a.Replayable:
+		return Verdict{Reason: "body is gone"}
+	case a.Tries >= _maxTries:
+		return Verdict{Reason: "tries"}
+	case a.Left < _minLeft:
+		return Verdict{Reason: "deadline"}
+	}
+	return Verdict{Again: true, Reason: string(a.Fate)}
+}
--- /dev/null
+++ b/route/choose.go
@@ -0,0 +1,133 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+// Why says what decided a choice.
+type Why string
+
+const (
+	// Near means that the instance is in the caller's data centre.
+	Near Why = "near"
+	// Spill means that no instance near by had a free slot.
+	Spill Why = "spill"
+	// Crowded means that no instance had a free slot.
+	Crowded Why = "crowded"
+	// Last means that only avoided instances were left.
+	Last Why = "last"
+)
+
+const _samples = 2
+
+// Request is what the choice needs to know.
+type Request struct {
+	At time.Duration
+	// Random draws the two instances that are compared.
+	Random uint64
+	// Tried are the instances of earlier attempts.
+	Tried []view.Key
+}
+
+// Choice is the chosen instance.
+type Choice struct {
+	Candidate  Candidate
+	Why        Why
+	Considered int
+	Load       Load
+}
+
+// Choose returns the instance for a request, or false if there is none.
+func Choose(p Pool, b *Book, r Request) (Choice, bool) {
+	near := p.Candidates[:p.Near]
+	far := p.Candidates[p.Near:]
+	if c, ok := pick(near, p, b, r, true); ok {
+		return c.because(Near), true
+	}
+	if c, ok := pick(far, p, b, r, true); ok {
+		return c.because(Spill), true
+	}
+	if c, ok := pick(p.Candidates, p, b, r, false); ok {
+		return c.because(Crowded), true
+	}
+	return lastResort(p, b, r)
+}
+
+// pick compares two usable instances, drawn at random.
+func pick(list []Candidate, p Pool, b *Book, r Request, free bool) (Choice, bool) {
+	var best Choice
+	found := 0
+	if len(list) == 0 {
+		return best, false
+	}
+	start := int(r.Random % uint64(len(list)))
+	step := stride(r.Random, len(list))
+	for n := range list {
+		c := list[(start+n*step)%len(list)]
+		l := b.Load(c.Key)
+		if !usable(c, p, b, r) || free && l.busy() >= p.Slots {
+			continue
+		}
+		found++
+		if found == 1 || l.cost() < best.Load.cost() {
+			best = Choice{Candidate: c, Load: l}
+		}
+		if found == _samples {
+			break
+		}
+	}
+	best.Considered = found
+	return best, found > 0
+}
+
+// lastResort takes an avoided instance rather than none.
+func lastResort(p Pool, b *Book, r Request) (Choice, bool) {
+	for n := range p.Candidates {
+		c := p.Candidates[(int(r.Random%uint64(len(p.Candidates)))+n)%len(p.Candidates)]
+		if !c.Out && !slices.Contains(r.Tried, c.Key) {
+			return Choice{Candidate: c, Why: Last, Considered: 1, Load: b.Load(c.Key)}, true
+		}
+	}
+	return Choice{}, false
+}
+
+// usable avoids a sick instance or a broken path while the floor allows it.
+func usable(c Candidate, p Pool, b *Book, r Request) bool {
+	if c.Out || slices.Contains(r.Tried, c.Key) {
+		return false
+	}
+	return !b.avoids(c.Key, r.At, p.Spare)
+}
+
+func (c Choice) because(why Why) Choice {
+	c.Why = why
+	return c
+}
+
+func (l Load) busy() int {
+	return max(l.Sent, l.Busy)
+}
+
+// cost orders instances by the time that a request would wait and take.
+func (l Load) cost() int64 {
+	return int64(l.busy()+1) * int64(max(l.Took, time.Millisecond))
+}
+
+// stride walks a list of n in a drawn order that meets every place once.
+func stride(random uint64, n int) int {
+	step := int((random>>32)%uint64(n)) | 1
+	for gcd(step, n) != 1 {
+		step += 2
+	}
+	return step
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
--- /dev/null
+++ b/route/load.go
@@ -0,0 +1,92 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+const _smooth = 0.2
+
+// Load is what an ingress knows of one instance, mostly from its answers.
+type Load struct {
+	// Sent is the number of this ingress's attempts in flight.
+	Sent int
+	// Busy is the number of running and queued attempts that the owner told.
+	Busy int
+	// Took is the smoothed time of a request.
+	Took time.Duration
+	// Failing says that the last answer was a failure.
+	Failing bool
+	// Sick says that the owner's evidence asks for an ejection.
+	Sick bool
+	// Blocked is the time until which the path is avoided.
+	Blocked time.Duration
+}
+
+// Book is what an ingress knows of a service's instances; one loop owns it.
+type Book struct {
+	loads    map[view.Key]Load
+	suspects []view.Key
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{loads: map[view.Key]Load{}}
+}
+
+// Load returns what is known of an instance.
+func (b *Book) Load(k view.Key) Load {
+	return b.loads[k]
+}
+
+// Change edits what is known of an instance.
+func (b *Book) Change(k view.Key, edit func(*Load)) {
+	l := b.loads[k]
+	edit(&l)
+	b.loads[k] = l
+	suspect := l.Sick || l.Blocked > 0
+	if suspect && !slices.Contains(b.suspects, k) {
+		b.suspects = append(b.suspects, k)
+	}
+}
+
+// avoids reports whether the instance is among the first suspects, as many as
+// may be spared.
+func (b *Book) avoids(k view.Key, at time.Duration, spare int) bool {
+	if !slices.Contains(b.suspects, k) {
+		return false
+	}
+	b.suspects = slices.DeleteFunc(b.suspects, func(s view.Key) bool {
+		l := b.loads[s]
+		return !l.Sick && at >= l.Blocked
+	})
+	rank := slices.Index(b.suspects, k)
+	return rank >= 0 && rank < spare
+}
+
+// Keep drops what is known of instances that are not in the pool.
+func (b *Book) Keep(p Pool) {
+	loads := make(map[view.Key]Load, len(p.Candidates))
+	for _, c := range p.Candidates {
+		if l, ok := b.loads[c.Key]; ok {
+			loads[c.Key] = l
+		}
+	}
+	b.loads = loads
+	b.suspects = slices.DeleteFunc(b.suspects, func(k view.Key) bool {
+		_, ok := loads[k]
+		return !ok
+	})
+}
+
+// WithTook returns the load with one more measured time.
+func (l Load) WithTook(took time.Duration) Load {
+	if l.Took == 0 {
+		l.Took = took
+		return l
+	}
+	l.Took += time.Duration(_smooth * float64(took-l.Took))
+	return l
+}
--- /dev/null
+++ b/route/pool.go
@@ -0,0 +1,58 @@
+package route
+
+import (
+	"slices"
+
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+// Candidate is one instance that may serve a request.
+type Candidate struct {
+	Key    view.Key
+	Center string
+	Addr   string
+	Epoch  uint64
+	Out    bool
+}
+
+// Pool is a service's instances, those in the own data centre first.
+type Pool struct {
+	Candidates []Candidate
+	// Near is the number of candidates in the own data centre.
+	Near int
+	// Spare is the number of instances that this ingress may avoid by itself.
+	Spare int
+	// Slots is the number of requests that one instance runs at a time.
+	Slots int
+}
+
+// NewPool returns the pool of a service as a node in the data centre sees it.
+func NewPool(service view.Versioned, center string, list []Candidate) Pool {
+	p := Pool{Spare: -service.Service.Floor, Slots: service.Service.Slots}
+	for _, c := range list {
+		if !c.Out {
+			p.Spare++
+		}
+		if c.Center == center {
+			p.Candidates = append(p.Candidates, c)
+		}
+	}
+	p.Near = len(p.Candidates)
+	for _, c := range list {
+		if c.Center != center {
+			p.Candidates = append(p.Candidates, c)
+		}
+	}
+	return p
+}
+
+// WithEpoch returns the pool with another start of one node.
+func (p Pool) WithEpoch(node string, epoch uint64) Pool {
+	p.Candidates = slices.Clone(p.Candidates)
+	for i := range p.Candidates {
+		if p.Candidates[i].Key.Node == node {
+			p.Candidates[i].Epoch = epoch
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/spec/yaml.go
@@ -0,0 +1,43 @@
+package spec
+
+import (
+	"bytes"
+	"io"
+	"reflect"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+// MaxDocument is the greatest size of one YAML document, in bytes.
+const MaxDocument = 4 << 20
+
+// Parse reads the services in a YAML file, one a document.
+func Parse(file string, data []byte) ([]Service, error) {
+	if len(data) > MaxDocument {
+		return nil, &FieldError{Field: file, Value: "", Want: "4 MiB at most"}
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+	var services []Service
+	for {
+		var s Service
+		err := decoder.Decode(&s)
+		if errors.Is(err, io.EOF) {
+			return services, nil
+		}
+		if err != nil {
+			return nil, errors.Errorf("%s: %w", file, err)
+		}
+		s = s.WithDefaults()
+		if err := s.Check(); err != nil {
+			return nil, errors.Errorf("%s: service %q: %w", file, s.Name, err)
+		}
+		services = append(services, s)
+	}
+}
+
+func jsonName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+	return name
+}
--- /dev/null
+++ b/spread/spread.go
@@ -0,0 +1,212 @@
+package spread
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/damaskpitch/damaskpitch/proto"
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+const (
+	_defaultWait   = 4 * time.Second
+	_defaultGossip = 3 * time.Second
+	_defaultRetry  = 500 * time.Millisecond
+	_history       = 2000
+)
+
+// Config sets up a model; zero times take the defaults.
+type Config struct {
+	// Node is this node's name; it spreads the choice of peers.
+	Node string
+	// Addr is this node's own address, which it never asks.
+	Addr string
+	// Control are the addresses of the control hosts.
+	Control []string
+	// Seeds are addresses of peers for a start without control hosts.
+	Seeds []string
+	// Wait is how long a control host holds a pull without news.
+	Wait time.Duration
+	// Gossip is the time between two pulls from random peers.
+	Gossip time.Duration
+	// Retry is the time after a failed pull.
+	Retry time.Duration
+}
+
+// Model is a node's view and how it keeps up; one loop owns it.
+type Model struct {
+	cfg     Config
+	view    *view.View
+	history *view.History
+	polling bool
+	pollAt  time.Duration
+	asking  bool
+	askAt   time.Duration
+	turn    int
+	round   uint64
+}
+
+// New returns a model with an empty view.
+func New(cfg Config) Model {
+	cfg = cfg.withDefaults()
+	seed := hash(cfg.Node, 0)
+	return Model{
+		cfg:     cfg,
+		view:    view.New(),
+		history: view.NewHistory(0, _history),
+		turn:    int(seed % uint64(max(1, len(cfg.Control)))),
+	}
+}
+
+// View returns the view; the caller must not change it.
+func (m Model) View() *view.View {
+	return m.view
+}
+
+// Update folds one message in and returns what follows from it.
+func (m Model) Update(msg Msg) (Model, []Cmd) {
+	switch msg := msg.(type) {
+	case TickMsg:
+		return m.tick(msg.At)
+	case DeltaMsg:
+		return m.delta(msg)
+	case FailMsg:
+		return m.fail(msg), nil
+	}
+	return m, nil
+}
+
+// Answer returns what a peer that pulls should hear.
+func (m Model) Answer(p proto.Pull) proto.Delta {
+	d := proto.Delta{Cluster: m.view.Cluster, From: p.Rev, Rev: m.view.Rev}
+	if p.Rev >= m.view.Rev || p.Cluster != 0 && p.Cluster != m.view.Cluster {
+		return d
+	}
+	if events, ok := m.history.Since(p.Rev); ok {
+		d.Events = slices.Clone(events)
+		return d
+	}
+	s := m.view.Snapshot()
+	d.Snapshot = &s
+	return d
+}
+
+func (m Model) tick(at time.Duration) (Model, []Cmd) {
+	var cmds []Cmd
+	if !m.polling && at >= m.pollAt && len(m.cfg.Control) > 0 {
+		m.polling = true
+		addr := m.cfg.Control[m.turn%len(m.cfg.Control)]
+		cmds = append(cmds, PullCmd{Source: Control, Addr: addr, Pull: m.pull(m.cfg.Wait)})
+	}
+	if m.asking || at < m.askAt {
+		return m, cmds
+	}
+	m.askAt = at + m.cfg.Gossip
+	m.round++
+	if addr := m.peer(); addr != "" {
+		m.asking = true
+		cmds = append(cmds, PullCmd{Source: Peer, Addr: addr, Pull: m.pull(0)})
+	}
+	return m, cmds
+}
+
+func (m Model) pull(wait time.Duration) proto.Pull {
+	return proto.Pull{Node: m.cfg.Node, Cluster: m.view.Cluster, Rev: m.view.Rev, Wait: wait}
+}
+
+// peer draws a member, or a seed while no member is known.
+func (m Model) peer() string {
+	var addrs []string
+	for _, member := range m.view.Members() {
+		if member.Addr != m.cfg.Addr {
+			addrs = append(addrs, member.Addr)
+		}
+	}
+	if len(addrs) == 0 {
+		addrs = m.cfg.Seeds
+	}
+	if len(addrs) == 0 {
+		return ""
+	}
+	return addrs[hash(m.cfg.Node, m.round)%uint64(len(addrs))]
+}
+
+func (m Model) fail(msg FailMsg) Model {
+	if msg.Source == Peer {
+		m.asking = false
+		return m
+	}
+	m.polling = false
+	m.pollAt = msg.At + m.cfg.Retry
+	m.turn++
+	return m
+}
+
+func (m Model) delta(msg DeltaMsg) (Model, []Cmd) {
+	before := m.view.Rev
+	m, cmds := m.apply(msg)
+	moved := m.view.Rev > before
+	if msg.Source == Peer {
+		m.asking = false
+		if moved {
+			// The control host that was followed had not told: try another.
+			m.turn++
+		}
+		return m, cmds
+	}
+	m.polling = false
+	m.pollAt = msg.At
+	if !moved {
+		m.turn++
+	}
+	if msg.Delta.Rev < m.view.Rev {
+		m.pollAt = msg.At + m.cfg.Retry
+	}
+	return m, cmds
+}
+
+// apply takes only what leads on from the present revision.
+func (m Model) apply(msg DeltaMsg) (Model, []Cmd) {
+	d := msg.Delta
+	if m.view.Cluster != 0 && d.Cluster != 0 && d.Cluster != m.view.Cluster {
+		return m, []Cmd{RejectCmd{Addr: msg.Addr, Cluster: d.Cluster}}
+	}
+	if d.Rev <= m.view.Rev {
+		return m, nil
+	}
+	if d.Snapshot != nil && d.Snapshot.Rev > m.view.Rev {
+		m.view = view.FromSnapshot(*d.Snapshot)
+		m.history = view.NewHistory(m.view.Rev, _history)
+		return m, []Cmd{AppliedCmd{Rev: m.view.Rev, All: true}}
+	}
+	if d.From != m.view.Rev {
+		return m, nil
+	}
+	var touched []string
+	for _, e := range d.Events {
+		touched = append(touched, m.view.Apply(e)...)
+		m.history.Add(e)
+	}
+	slices.Sort(touched)
+	return m, []Cmd{AppliedCmd{Rev: m.view.Rev, Services: slices.Compact(touched)}}
+}
+
+func (c Config) withDefaults() Config {
+	if c.Wait == 0 {
+		c.Wait = _defaultWait
+	}
+	if c.Gossip == 0 {
+		c.Gossip = _defaultGossip
+	}
+	if c.Retry == 0 {
+		c.Retry = _defaultRetry
+	}
+	return c
+}
+
+func hash(node string, round uint64) uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(node), round))
+}
--- /dev/null
+++ b/store/command.go
@@ -0,0 +1,153 @@
+package store
+
+import (
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/claim"
+	"github.com/damaskpitch/damaskpitch/spec"
+	"github.com/damaskpitch/damaskpitch/view"
+	"github.com/damaskpitch/damaskpitch/wire"
+)
+
+// AnyRev lets a write replace whatever revision there is.
+const AnyRev = -1
+
+// Entry is one command at its place and time in the log.
+type Entry struct {
+	Index   uint64        `json:"-"`
+	At      time.Duration `json:"at"`
+	Command any           `json:"command"`
+}
+
+// Command is one of the commands of this file.
+type Command interface{ command() }
+
+// Found gives the fleet its identity.
+type Found struct {
+	Cluster uint64 `json:"cluster"`
+}
+
+// PutService writes a service if its revision is Match; Request names the
+// operator's request, so that a resend gets the first result.
+type PutService struct {
+	Request string       `json:"request,omitempty"`
+	Match   int64        `json:"match"`
+	Service spec.Service `json:"service"`
+}
+
+// DropService deletes a service if its revision is Match.
+type DropService struct {
+	Request string `json:"request,omitempty"`
+	Match   int64  `json:"match"`
+	Name    string `json:"name"`
+}
+
+// Enroll writes a member and replaces all of its instances.
+type Enroll struct {
+	Member    view.Member     `json:"member"`
+	Instances []view.Instance `json:"instances"`
+}
+
+// Announce writes one instance of a member.
+type Announce struct {
+	Node     string        `json:"node"`
+	Epoch    uint64        `json:"epoch"`
+	Instance view.Instance `json:"instance"`
+}
+
+// Withdraw deletes one instance of a member.
+type Withdraw struct {
+	Key   view.Key `json:"key"`
+	Epoch uint64   `json:"epoch"`
+}
+
+// Observe writes whether a member's host is reachable.
+type Observe struct {
+	Node  string     `json:"node"`
+	Epoch uint64     `json:"epoch"`
+	Reach view.Reach `json:"reach"`
+}
+
+// Remove deletes a member.
+type Remove struct {
+	Node  string `json:"node"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// Eject asks for an ejection for a time, or renews it.
+type Eject struct {
+	Key   view.Key      `json:"key"`
+	Epoch uint64        `json:"epoch"`
+	TTL   time.Duration `json:"ttl"`
+}
+
+// Restore ends an ejection.
+type Restore struct {
+	Key   view.Key `json:"key"`
+	Epoch uint64   `json:"epoch"`
+}
+
+// Claim asks to run an idempotency key's request once.
+type Claim struct {
+	Key    string        `json:"key"`
+	Digest uint64        `json:"digest"`
+	Holder string        `json:"holder"`
+	TTL    time.Duration `json:"ttl"`
+}
+
+// Settle says how a claimed request ended.
+type Settle struct {
+	Key     string        `json:"key"`
+	Holder  string        `json:"holder"`
+	Outcome claim.Outcome `json:"outcome"`
+	Answer  claim.Answer  `json:"answer"`
+}
+
+// Clock carries only its time, for leases that run out.
+type Clock struct{}
+
+func (Found) command()       {}
+func (PutService) command()  {}
+func (DropService) command() {}
+func (Enroll) command()      {}
+func (Announce) command()    {}
+func (Withdraw) command()    {}
+func (Observe) command()     {}
+func (Remove) command()      {}
+func (Eject) command()       {}
+func (Restore) command()     {}
+func (Claim) command()       {}
+func (Settle) command()      {}
+func (Clock) command()       {}
+
+// Types lists the commands and results in the order of the format.
+func Types() []any {
+	return []any{
+		Entry{},
+		PutService{},
+		DropService{},
+		Enroll{},
+		Announce{},
+		Withdraw{},
+		Observe{},
+		Remove{},
+		Eject{},
+		Restore{},
+		Claim{},
+		Settle{},
+		Clock{},
+		Found{},
+		Snapshot{},
+		Written{},
+		Conflict{},
+		Missing{},
+		Stale{},
+		Granted{},
+		Refused{},
+		Claimed{},
+		Mismatched{},
+	}
+}
+
+// Codec carries entries and snapshots.
+var Codec = wire.NewCodec(append(view.Types(), Types()...)...)
--- /dev/null
+++ b/store/members.go
@@ -0,0 +1,116 @@
+package store
+
+import (
+	"slices"
+
+	"github.com/damaskpitch/damaskpitch/floor"
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+func (m *Model) enroll(c Enroll) Result {
+	node := c.Member.Node
+	old, known := m.view.Member(node)
+	if known && old.Epoch > c.Member.Epoch {
+		return Stale{}
+	}
+	if known && old.Epoch < c.Member.Epoch {
+		m.forget(node)
+	}
+	if old != c.Member {
+		m.emit(view.MemberPut{Member: c.Member})
+		m.reach(node, c.Member.Reach)
+	}
+	for _, i := range m.view.InstancesOf(node) {
+		if !slices.ContainsFunc(c.Instances, func(n view.Instance) bool { return n.ID == i.ID }) {
+			m.dropInstance(view.Key{Node: node, ID: i.ID})
+		}
+	}
+	for _, i := range c.Instances {
+		m.putInstance(node, i)
+	}
+	return Written{Rev: m.index}
+}
+
+func (m *Model) announce(c Announce) Result {
+	if !m.current(c.Node, c.Epoch) {
+		return Stale{}
+	}
+	m.putInstance(c.Node, c.Instance)
+	return Written{Rev: m.index}
+}
+
+func (m *Model) withdraw(c Withdraw) Result {
+	if !m.current(c.Key.Node, c.Epoch) {
+		return Stale{}
+	}
+	m.dropInstance(c.Key)
+	return Written{Rev: m.index}
+}
+
+func (m *Model) observe(c Observe) Result {
+	member, ok := m.view.Member(c.Node)
+	if !ok || member.Epoch != c.Epoch {
+		return Stale{}
+	}
+	if member.Reach == c.Reach {
+		return Written{Rev: m.index}
+	}
+	m.emit(view.MemberPut{Member: member.WithReach(c.Reach)})
+	m.reach(c.Node, c.Reach)
+	return Written{Rev: m.index}
+}
+
+func (m *Model) remove(c Remove) Result {
+	if !m.current(c.Node, c.Epoch) {
+		return Stale{}
+	}
+	m.forget(c.Node)
+	m.emit(view.MemberGone{Node: c.Node})
+	return Written{Rev: m.index}
+}
+
+func (m *Model) putInstance(node string, i view.Instance) {
+	key := view.Key{Node: node, ID: i.ID}
+	old, known := m.view.Instance(key)
+	if known && old == i {
+		return
+	}
+	if known && (old.Service != i.Service || old.Leaving && !i.Leaving) {
+		m.dropInstance(key)
+		known = false
+	}
+	m.emit(view.InstancePut{Node: node, Instance: i})
+	if !known {
+		m.arbitrate(i.Service, floor.JoinMsg{ID: key.String(), Warm: m.at + m.warmup(i.Service)})
+	}
+	if i.Leaving {
+		m.arbitrate(i.Service, floor.LeaveMsg{ID: key.String()})
+	}
+}
+
+func (m *Model) dropInstance(key view.Key) {
+	i, ok := m.view.Instance(key)
+	if !ok {
+		return
+	}
+	m.arbitrate(i.Service, floor.GoneMsg{ID: key.String()})
+	m.emit(view.InstanceGone{Key: key})
+}
+
+func (m *Model) forget(node string) {
+	for _, i := range m.view.InstancesOf(node) {
+		m.dropInstance(view.Key{Node: node, ID: i.ID})
+	}
+}
+
+func (m *Model) reach(node string, r view.Reach) {
+	for _, i := range m.view.InstancesOf(node) {
+		key := view.Key{Node: node, ID: i.ID}
+		m.arbitrate(i.Service, floor.ReachMsg{ID: key.String(), Lost: r == view.Unreachable})
+	}
+}
+
+func (m *Model) current(node string, epoch uint64) bool {
+	member, ok := m.view.Member(node)
+	return ok && member.Epoch == epoch
+}
--- /dev/null
+++ b/store/snapshot.go
@@ -0,0 +1,66 @@
+package store
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damaskpitch/damaskpitch/claim"
+	"github.com/damaskpitch/damaskpitch/floor"
+	"github.com/damaskpitch/damaskpitch/view"
+	"github.com/damaskpitch/damaskpitch/wire"
+)
+
+// Snapshot is the whole state at one place in the log.
+type Snapshot struct {
+	Index    uint64                  `json:"index"`
+	At       time.Duration           `json:"at"`
+	View     view.Snapshot           `json:"view"`
+	Arbiters map[string]floor.Model  `json:"arbiters"`
+	Claims   map[string]claim.Record `json:"claims"`
+	Requests map[string]Kept         `json:"requests"`
+}
+
+// Save returns the whole state as bytes.
+func (m Model) Save() ([]byte, error) {
+	data, err := Codec.Encode(Snapshot{
+		Index:    m.index,
+		At:       m.at,
+		View:     m.view.Snapshot(),
+		Arbiters: m.arbiters,
+		Claims:   m.claims.Records(),
+		Requests: m.requests,
+	})
+	if err != nil {
+		return nil, errors.Errorf("save snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// Load returns the state that the bytes hold.
+func Load(cfg Config, data []byte) (Model, error) {
+	msg, err := Codec.Decode(data)
+	if err != nil {
+		return Model{}, errors.Errorf("load snapshot: %w", err)
+	}
+	s, ok := msg.(Snapshot)
+	if !ok {
+		return Model{}, errors.Errorf("load snapshot: %T: %w", msg, wire.ErrDecode)
+	}
+	m := New(cfg)
+	m.index = s.Index
+	m.at = s.At
+	m.view = view.FromSnapshot(s.View)
+	m.claims = claim.Restore(claim.Config{Retention: m.cfg.Retention}, s.Claims)
+	m.history = view.NewHistory(s.View.Rev, m.cfg.History)
+	for name, arbiter := range s.Arbiters {
+		if arbiter.Known == nil {
+			arbiter.Known = map[string]floor.Standing{}
+		}
+		m.arbiters[name] = arbiter
+	}
+	for request, kept := range s.Requests {
+		m.requests[request] = kept
+	}
+	return m, nil
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,170 @@
+package store
+
+import (
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/claim"
+	"github.com/damaskpitch/damaskpitch/floor"
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+const (
+	_defaultHistory   = 20000
+	_defaultRequests  = time.Hour
+	_defaultRetention = 24 * time.Hour
+)
+
+// Config sets what a model keeps; zero values take the defaults.
+type Config struct {
+	// History is the number of events that watchers can resume from.
+	History int
+	// Requests is how long an operator's request keeps its result.
+	Requests time.Duration
+	// Retention is how long an idempotency key keeps its answer.
+	Retention time.Duration
+}
+
+// Model is the replicated state; one loop owns it.
+type Model struct {
+	cfg      Config
+	index    uint64
+	at       time.Duration
+	view     *view.View
+	arbiters map[string]floor.Model
+	claims   claim.Model
+	requests map[string]Kept
+	history  *view.History
+}
+
+// Kept is the result of an operator's request and when it is forgotten.
+type Kept struct {
+	Result any           `json:"result"`
+	Until  time.Duration `json:"until"`
+}
+
+// New returns an empty model.
+func New(cfg Config) Model {
+	cfg = cfg.withDefaults()
+	return Model{
+		cfg:      cfg,
+		view:     view.New(),
+		arbiters: map[string]floor.Model{},
+		claims:   claim.New(claim.Config{Retention: cfg.Retention}),
+		requests: map[string]Kept{},
+		history:  view.NewHistory(0, cfg.History),
+	}
+}
+
+// View returns the state that nodes see; the caller must not change it.
+func (m Model) View() *view.View {
+	return m.view
+}
+
+// Index returns the place in the log that the model has reached.
+func (m Model) Index() uint64 {
+	return m.index
+}
+
+// At returns the log time that the model has reached.
+func (m Model) At() time.Duration {
+	return m.at
+}
+
+// Since returns the events after a revision, or false if the watcher must take
+// a snapshot.
+func (m Model) Since(rev uint64) ([]view.Event, bool) {
+	if rev > m.view.Rev {
+		return nil, false
+	}
+	return m.history.Since(rev)
+}
+
+// Healthy returns the number of instances that count towards a floor.
+func (m Model) Healthy(service string) int {
+	return m.arbiters[service].Healthy(m.at)
+}
+
+// Apply folds one entry in; entries that were applied before change nothing.
+func (m Model) Apply(e Entry) (Model, Result) {
+	if e.Index <= m.index {
+		return m, Stale{}
+	}
+	m.index = e.Index
+	m.at = max(m.at, e.At)
+	if _, ok := e.Command.(Clock); ok {
+		m = m.expire()
+	}
+	switch c := e.Command.(type) {
+	case Found:
+		m.emit(view.Founded{Cluster: c.Cluster})
+		return m, Written{Rev: m.index}
+	case PutService:
+		return m.once(c.Request, func() Result { return m.putService(c) })
+	case DropService:
+		return m.once(c.Request, func() Result { return m.dropService(c) })
+	case Enroll:
+		return m, m.enroll(c)
+	case Announce:
+		return m, m.announce(c)
+	case Withdraw:
+		return m, m.withdraw(c)
+	case Observe:
+		return m, m.observe(c)
+	case Remove:
+		return m, m.remove(c)
+	case Eject:
+		return m, m.eject(c)
+	case Restore:
+		return m, m.restore(c)
+	case Claim:
+		return m.claim(c)
+	case Settle:
+		return m.settle(c)
+	}
+	return m, Written{Rev: m.index}
+}
+
+// once gives an operator's resend the first result.
+func (m Model) once(request string, run func() Result) (Model, Result) {
+	if request == "" {
+		return m, run()
+	}
+	if kept, ok := m.requests[request]; ok {
+		return m, kept.Result.(Result)
+	}
+	result := run()
+	m.requests[request] = Kept{Result: result, Until: m.at + m.cfg.Requests}
+	return m, result
+}
+
+func (m *Model) emit(c view.Change) {
+	e := view.Event{Rev: m.index, Change: c}
+	m.view.Apply(e)
+	m.history.Add(e)
+}
+
+func (m Model) expire() Model {
+	m.claims, _ = m.claims.Update(claim.ClockMsg{At: m.at})
+	for request, kept := range m.requests {
+		if kept.Until <= m.at {
+			delete(m.requests, request)
+		}
+	}
+	for service := range m.arbiters {
+		m.arbitrate(service, floor.ClockMsg{At: m.at})
+	}
+	return m
+}
+
+func (c Config) withDefaults() Config {
+	if c.History == 0 {
+		c.History = _defaultHistory
+	}
+	if c.Requests == 0 {
+		c.Requests = _defaultRequests
+	}
+	if c.Retention == 0 {
+		c.Retention = _defaultRetention
+	}
+	return c
+}
--- /dev/null
+++ b/trials/fleet_test.go
@@ -0,0 +1,246 @@
+package trials
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/config"
+	"github.com/damaskpitch/damaskpitch/fakes"
+	"github.com/damaskpitch/damaskpitch/spec"
+	"github.com/goccy/go-yaml"
+)
+
+const (
+	_key     = "a-key-for-these-trials"
+	_patient = 40 * time.Second
+)
+
+var _binary string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "damaskpitch-trials-")
+	if err != nil {
+		panic(err)
+	}
+	_binary = filepath.Join(folder, "damaskpitch")
+	build := exec.Command("go", "build", "-o", _binary, "../cmd/damaskpitch")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// fleet is a set of processes of the built program.
+type fleet struct {
+	t        *testing.T
+	folder   string
+	controls []config.Control
+	nodes    []config.Node
+	procs    map[string]*exec.Cmd
+}
+
+func newFleet(t *testing.T, controls, nodes int) *fleet {
+	f := &fleet{t: t, folder: t.TempDir(), procs: map[string]*exec.Cmd{}}
+	var hosts []config.Host
+	for n := range controls {
+		hosts = append(hosts, config.Host{Name: fmt.Sprintf("c%d", n+1), Addr: freeAddr(t)})
+	}
+	var peers []string
+	for _, h := range hosts {
+		peers = append(peers, h.Addr)
+		f.controls = append(f.controls, config.Control{
+			Name: h.Name, Center: "mida", Data: filepath.Join(f.folder, h.Name),
+			API: freeAddr(t), Peer: h.Addr, Key: _key, Hosts: hosts,
+		})
+	}
+	for n := range nodes {
+		f.nodes = append(f.nodes, config.Node{
+			Name: fmt.Sprintf("n%d", n+1), Center: []string{"mida", "kilifi"}[n%2],
+			Caller: freeAddr(t), Peer: freeAddr(t), Local: freeAddr(t), Key: _key, Control: peers,
+		})
+	}
+	t.Cleanup(f.killAll)
+	return f
+}
+
+func (f *fleet) startAll() {
+	for n := range f.controls {
+		f.startControl(n)
+	}
+	for n := range f.nodes {
+		f.startNode(n)
+	}
+}
+
+func (f *fleet) startControl(n int) { f.start(f.controls[n].Name, "control", f.controls[n]) }
+
+func (f *fleet) startNode(n int) { f.start(f.nodes[n].Name, "node", f.nodes[n]) }
+
+func (f *fleet) start(name, role string, settings any) *exec.Cmd {
+	data, err := yaml.Marshal(settings)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	file := filepath.Join(f.folder, name+".yaml")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	logs, err := os.OpenFile(filepath.Join(f.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	cmd := exec.Command(_binary, role, "--config", file)
+	cmd.Stderr = logs
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	_ = logs.Close()
+	f.procs[name] = cmd
+	return cmd
+}
+
+// kill ends a process at once and waits for it.
+func (f *fleet) kill(name string) {
+	_ = f.procs[name].Process.Kill()
+	_ = f.procs[name].Wait()
+	delete(f.procs, name)
+}
+
+func (f *fleet) killAll() {
+	for name := range f.procs {
+		f.kill(name)
+	}
+	if !f.t.Failed() {
+		return
+	}
+	files, _ := filepath.Glob(filepath.Join(f.folder, "*.log"))
+	for _, file := range files {
+		data, _ := os.ReadFile(file)
+		f.t.Logf("%s:\n%s", filepath.Base(file), data[max(0, len(data)-4000):])
+	}
+}
+
+// backend starts a fake backend server beside a node.
+func (f *fleet) backend(id, service string, node int) *fakes.Backend {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.t.Cleanup(cancel)
+	b, err := fakes.StartBackend(ctx, fakes.BackendConfig{ID: id, Service: service, Node: f.nodes[node].Local})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return b
+}
+
+// put writes a service by way of one control host, as often as it takes.
+func (f *fleet) put(control int, s spec.Service, request string) uint64 {
+	var rev uint64
+	f.eventually("write "+s.Name, func() error {
+		status, body, err := f.write(control, s, "*", request)
+		if err != nil || status != http.StatusOK {
+			return fmt.Errorf("status %d %s: %w", status, body, err)
+		}
+		var written struct{ Rev uint64 }
+		err = json.Unmarshal(body, &written)
+		rev = written.Rev
+		return err
+	})
+	return rev
+}
+
+func (f *fleet) write(control int, s spec.Service, match, request string) (int, []byte, error) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	header := http.Header{"If-Match": {match}, "Request-Id": {request}}
+	return f.call(http.MethodPut, "http://"+f.controls[control].API+"/v1/services/"+s.Name, header, data)
+}
+
+func (f *fleet) call(method, url string, header http.Header, body []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	for name, values := range header {
+		r.Header[name] = values
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, data, err
+}
+
+// ask sends a caller's request to a node and checks that the answer is its
+// own.
+func (f *fleet) ask(node int, path string) (fakes.Answer, error) {
+	var answer fakes.Answer
+	id := fmt.Sprintf("r-%d", time.Now().UnixNano())
+	header := http.Header{"Request-Id": {id}}
+	status, body, err := f.call(http.MethodGet, "http://"+f.nodes[node].Caller+path, header, nil)
+	if err != nil {
+		return answer, err
+	}
+	if status != http.StatusOK {
+		return answer, fmt.Errorf("status %d: %s", status, body)
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return answer, err
+	}
+	if answer.Path != path || answer.Request != id {
+		return answer, fmt.Errorf("answer %+v is not the request's own", answer)
+	}
+	return answer, nil
+}
+
+func (f *fleet) eventually(what string, try func() error) {
+	f.t.Helper()
+	deadline := time.Now().Add(_patient)
+	for {
+		err := try()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%s: %v", what, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func lookup() spec.Service {
+	return spec.Service{
+		Name: "lookup", Floor: 1, Patience: spec.Quick, Warmup: spec.Duration(time.Millisecond),
+		Routes: []spec.Route{
+			{Path: "/check"},
+			{Path: "/blob"},
+			{Path: "/renew", Method: http.MethodPost, Once: true},
+		},
+	}.WithDefaults()
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/view/digest.go
@@ -0,0 +1,17 @@
+package view
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Digest returns a number that is the same for the same list of instances.
+func Digest(list []Instance) uint64 {
+	d := xxhash.New()
+	for _, i := range list {
+		_, _ = d.WriteString(i.ID + "\x00" + i.Service + "\x00" + i.Addr + "\x00")
+		_, _ = d.WriteString(strconv.FormatBool(i.Leaving) + "\n")
+	}
+	return d.Sum64()
+}
--- /dev/null
+++ b/view/snapshot.go
@@ -0,0 +1,51 @@
+package view
+
+import "cmp"
+
+// Snapshot is a whole view, as it travels and as it is stored.
+type Snapshot struct {
+	Rev      uint64      `json:"rev"`
+	Cluster  uint64      `json:"cluster"`
+	Services []Versioned `json:"services"`
+	Hosts    []Host      `json:"hosts"`
+	Ejected  []Key       `json:"ejected"`
+}
+
+// Host is a member with its instances.
+type Host struct {
+	Member    Member     `json:"member"`
+	Instances []Instance `json:"instances"`
+}
+
+// Snapshot returns the whole view.
+func (v *View) Snapshot() Snapshot {
+	s := Snapshot{Rev: v.Rev, Cluster: v.Cluster, Services: v.Services(), Ejected: v.EjectedKeys()}
+	for _, m := range v.Members() {
+		s.Hosts = append(s.Hosts, Host{Member: m, Instances: v.InstancesOf(m.Node)})
+	}
+	return s
+}
+
+// FromSnapshot returns the view that a snapshot holds.
+func FromSnapshot(s Snapshot) *View {
+	v := New()
+	for _, versioned := range s.Services {
+		v.services[versioned.Service.Name] = versioned
+	}
+	for _, h := range s.Hosts {
+		v.members[h.Member.Node] = h.Member
+		for _, i := range h.Instances {
+			v.putInstance(InstancePut{Node: h.Member.Node, Instance: i})
+		}
+	}
+	for _, k := range s.Ejected {
+		v.ejected[k] = true
+	}
+	v.Rev = s.Rev
+	v.Cluster = s.Cluster
+	return v
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.ID, b.ID))
+}
--- /dev/null
+++ b/view/view.go
@@ -0,0 +1,185 @@
+package view
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/damaskpitch/damaskpitch/spec"
+)
+
+// View is the state of the fleet at one revision; one loop owns it.
+type View struct {
+	Rev       uint64
+	Cluster   uint64
+	services  map[string]Versioned
+	members   map[string]Member
+	instances map[string]map[string]Instance
+	ejected   map[Key]bool
+}
+
+// Versioned is a service with the revision that wrote it last.
+type Versioned struct {
+	Service spec.Service `json:"service"`
+	Rev     uint64       `json:"rev"`
+}
+
+// New returns an empty view at revision 0.
+func New() *View {
+	return &View{
+		services:  map[string]Versioned{},
+		members:   map[string]Member{},
+		instances: map[string]map[string]Instance{},
+		ejected:   map[Key]bool{},
+	}
+}
+
+// Apply folds one event in and returns the names of the services it touched.
+func (v *View) Apply(e Event) []string {
+	v.Rev = max(v.Rev, e.Rev)
+	switch c := e.Change.(type) {
+	case Founded:
+		v.Cluster = c.Cluster
+	case ServicePut:
+		v.services[c.Service.Name] = Versioned{Service: c.Service, Rev: e.Rev}
+		return []string{c.Service.Name}
+	case ServiceGone:
+		delete(v.services, c.Name)
+		return []string{c.Name}
+	case MemberPut:
+		return v.putMember(c.Member)
+	case MemberGone:
+		return v.dropMember(c.Node)
+	case InstancePut:
+		return v.putInstance(c)
+	case InstanceGone:
+		return v.dropInstance(c.Key)
+	case EjectPut:
+		v.ejected[c.Key] = true
+		return v.serviceOf(c.Key)
+	case EjectGone:
+		delete(v.ejected, c.Key)
+		return v.serviceOf(c.Key)
+	}
+	return nil
+}
+
+// Service returns a service and the revision that wrote it.
+func (v *View) Service(name string) (Versioned, bool) {
+	s, ok := v.services[name]
+	return s, ok
+}
+
+// Services returns every service, by name.
+func (v *View) Services() []Versioned {
+	names := slices.Sorted(maps.Keys(v.services))
+	list := make([]Versioned, 0, len(names))
+	for _, name := range names {
+		list = append(list, v.services[name])
+	}
+	return list
+}
+
+// Member returns a member of the fleet.
+func (v *View) Member(node string) (Member, bool) {
+	m, ok := v.members[node]
+	return m, ok
+}
+
+// Members returns every member, by name.
+func (v *View) Members() []Member {
+	names := slices.Sorted(maps.Keys(v.members))
+	list := make([]Member, 0, len(names))
+	for _, name := range names {
+		list = append(list, v.members[name])
+	}
+	return list
+}
+
+// Instance returns an instance.
+func (v *View) Instance(k Key) (Instance, bool) {
+	i, ok := v.instances[k.Node][k.ID]
+	return i, ok
+}
+
+// InstancesOf returns the instances beside one node, by name.
+func (v *View) InstancesOf(node string) []Instance {
+	ids := slices.Sorted(maps.Keys(v.instances[node]))
+	list := make([]Instance, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, v.instances[node][id])
+	}
+	return list
+}
+
+// Ejected reports whether the instance is out of service.
+func (v *View) Ejected(k Key) bool {
+	return v.ejected[k]
+}
+
+// EjectedKeys returns every instance that is out of service, by name.
+func (v *View) EjectedKeys() []Key {
+	return slices.SortedFunc(maps.Keys(v.ejected), compareKeys)
+}
+
+func (v *View) putMember(m Member) []string {
+	old, known := v.members[m.Node]
+	v.members[m.Node] = m
+	touched := v.servicesOf(m.Node)
+	if known && old.Epoch != m.Epoch {
+		v.dropInstances(m.Node)
+	}
+	return touched
+}
+
+func (v *View) dropMember(node string) []string {
+	touched := v.servicesOf(node)
+	v.dropInstances(node)
+	delete(v.members, node)
+	return touched
+}
+
+func (v *View) dropInstances(node string) {
+	for id := range v.instances[node] {
+		delete(v.ejected, Key{Node: node, ID: id})
+	}
+	delete(v.instances, node)
+}
+
+func (v *View) putInstance(c InstancePut) []string {
+	list := v.instances[c.Node]
+	if list == nil {
+		list = map[string]Instance{}
+		v.instances[c.Node] = list
+	}
+	touched := []string{c.Instance.Service}
+	if old, ok := list[c.Instance.ID]; ok && old.Service != c.Instance.Service {
+		touched = append(touched, old.Service)
+	}
+	list[c.Instance.ID] = c.Instance
+	return touched
+}
+
+func (v *View) dropInstance(k Key) []string {
+	touched := v.serviceOf(k)
+	delete(v.instances[k.Node], k.ID)
+	delete(v.ejected, k)
+	return touched
+}
+
+func (v *View) serviceOf(k Key) []string {
+	i, ok := v.instances[k.Node][k.ID]
+	if !ok {
+		return nil
+	}
+	return []string{i.Service}
+}
+
+func (v *View) servicesOf(node string) []string {
+	var names []string
+	for _, i := range v.instances[node] {
+		if !slices.Contains(names, i.Service) {
+			names = append(names, i.Service)
+		}
+	}
+	return names
+}
