Decide a request's course in a pure model; restart nodes without a cut

Cause: the ingress decided inside its HTTP code, so nothing could drive it through interleavings. The trip package now holds the decisions; the node runs its commands.

A refusal of a doubled attempt is no proof any more.

Ruled out: the accept queue alone (waiting 300 ms before closing changed nothing).

--- a/node/answer.go
+++ b/node/answer.go
@@ -19,7 +19,6 @@
 // copyAnswer streams the whole answer to the caller, or ends the caller's
 // connection with an error.
 func (e *exchange) copyAnswer(res *result) {
-	e.answered = true
 	out := e.w.Header()
 	for name, values := range cleanHeader(res.response.Header) {
 		out[name] = values
@@ -36,7 +35,6 @@
 	for tries := 0; !whole && d.resumable(res) && tries < _maxResumes; tries++ {
 		whole = d.resume(&res)
 	}
-	res.discard()
 	if !whole {
 		e.server.stats.broken.Inc(1)
 		panic(http.ErrAbortHandler)
@@ -99,8 +97,12 @@
 	e.deadline = time.Now().Add(e.match.Service.Timeout.Std())
 	e.header.Set("Range", fmt.Sprintf("bytes=%d-", d.sent))
 	e.header.Set("If-Range", d.etag)
-	next := e.attempt(ctx)
+	next, ok := e.try(ctx)
+	if !ok {
+		return false
+	}
 	*res = next
+	e.last = next
 	if next.fate != retry.Ran || !d.continues(next.response) {
 		return false
 	}
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -18,18 +18,24 @@
 
 // result is what one attempt came to.
 type result struct {
+	ref      ledger.Ref
 	fate     retry.Fate
 	reason   string
 	response *http.Response
 	choice   route.Choice
+	hint     route.Hint
 	started  time.Time
 	cancel   context.CancelFunc
-	free     bool // a retry that costs no budget
-	final    bool // a retry is pointless
+	sent     bool         // any of it may have left this process
+	copies   atomic.Int32 // how often the transport sent it
+	free     bool         // a retry costs no budget
 }
 
 // discard closes what the attempt still holds open.
 func (r *result) discard() {
+	if r == nil {
+		return
+	}
 	if r.response != nil {
 		_ = r.response.Body.Close()
 	}
@@ -38,22 +44,27 @@
 	}
 }
 
-// attempt sends the request to one instance by way of its owner.
-func (e *exchange) attempt(ctx context.Context) *result {
+// try sends the request to one instance by way of its owner; it reports
+// whether there was one.
+func (e *exchange) try(ctx context.Context) (*result, bool) {
 	s := e.server
 	seq := s.seq.Add(1)
 	choice, hint, ok := e.choose(seq)
 	if !ok {
-		return &result{fate: retry.NotRun, reason: "no instance", final: true}
+		return nil, false
 	}
 	e.logChoice(ctx, choice)
 	e.tried = append(e.tried, choice.Candidate.Key)
 	s.stats.attempts.Inc(1)
-	ref := ledger.Ref{Node: s.cfg.Settings.Name, Epoch: s.epoch.Load(), Seq: seq}
-	res := &result{choice: choice, started: time.Now()}
-	e.send(ctx, ref, hint, res)
+	res := &result{
+		ref:     ledger.Ref{Node: s.cfg.Settings.Name, Epoch: s.epoch.Load(), Seq: seq},
+		choice:  choice,
+		hint:    hint,
+		started: time.Now(),
+	}
+	e.send(ctx, res)
 	e.note(res)
-	return res
+	return res, true
 }
 
 func (e *exchange) choose(seq uint64) (route.Choice, route.Hint, bool) {
@@ -71,40 +82,53 @@
 	return choice, route.HintOf(e.service.pool, e.service.book), true
 }
 
-// send makes the round trip and finds out the attempt's fate.
-func (e *exchange) send(ctx context.Context, ref ledger.Ref, hint route.Hint, res *result) {
-	attemptCtx, cancel := context.WithCancel(ctx)
-	res.cancel = cancel
-	var connected atomic.Bool
-	traced := httptrace.WithClientTrace(attemptCtx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+// send makes the round trip.
+func (e *exchange) send(ctx context.Context, res *result) {
+	ctx, res.cancel = context.WithCancel(ctx)
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaders: func() { res.copies.Add(1) },
 	})
-	silent := e.watchSilence(attemptCtx, ref, res, cancel)
-	response, err := e.server.paths.transport(res.choice.Candidate.Addr).RoundTrip(e.request(traced, ref, hint, res)) //nolint:bodyclose // the result owns it
-	silenced := silent.stop()
+	watch := e.watchSilence(ctx, res)
+	transport := e.server.paths.transport(res.choice.Candidate.Addr)
+	response, err := transport.RoundTrip(e.request(traced, res)) //nolint:bodyclose // the result owns it
+	gaveUp := watch.stop()
 	if err != nil {
-		e.failed(ctx, ref, res, connected.Load(), silenced)
+		res.sent = res.copies.Load() > 0
+		res.reason = "no answer"
+		if gaveUp != "" {
+			res.reason = gaveUp
+		}
+		if !res.sent {
+			res.reason = "no connection"
+			e.blockPath(res)
+		}
 		return
 	}
 	res.response = response
-	if response.Header.Get(_headerAttempt) != ref.String() {
-		res.fate, res.reason = retry.Unknown, "answer of another attempt"
+	e.read(res)
+}
+
+// read takes the owner's word from the answer's header.
+func (e *exchange) read(res *result) {
+	header := res.response.Header
+	res.fate, res.reason = retry.Unknown, "answer of another attempt"
+	if header.Get(_headerAttempt) != res.ref.String() {
 		e.server.paths.doubt(res.choice.Candidate.Addr)
 		return
 	}
-	res.fate = retry.Fate(response.Header.Get(_headerFate))
-	res.reason = response.Header.Get(HeaderReason)
-	res.free = res.reason == _reasonEpoch
-	if res.free {
+	res.reason = header.Get(HeaderReason)
+	switch fate := retry.Fate(header.Get(_headerFate)); fate {
+	case retry.Ran, retry.NotRun:
+		res.fate = fate
+	}
+	if res.reason == _reasonEpoch {
+		res.free = true
 		e.tried = e.tried[:len(e.tried)-1]
 		e.learnEpoch(res)
 	}
-	if res.fate != retry.Ran && res.fate != retry.NotRun {
-		res.fate = retry.Unknown
-	}
 }
 
-func (e *exchange) request(ctx context.Context, ref ledger.Ref, hint route.Hint, res *result) *http.Request {
+func (e *exchange) request(ctx context.Context, res *result) *http.Request {
 	c := res.choice.Candidate
 	body, length := e.newBody()
 	u := *e.r.URL
@@ -122,44 +146,25 @@
 		r.Body = http.NoBody
 	}
 	r.Header.Set(_headerSecret, e.server.cfg.Settings.Key)
-	r.Header.Set(_headerAttempt, ref.String())
+	r.Header.Set(_headerAttempt, res.ref.String())
 	r.Header.Set(_headerOwner, strconv.FormatUint(c.Epoch, 10))
 	r.Header.Set(_headerInstance, c.Key.ID)
 	r.Header.Set(_headerLeft, formatMillis(time.Until(e.deadline)))
 	r.Header.Set(HeaderCaller, e.caller)
-	if hint.Median > 0 {
-		r.Header.Set(_headerHint, formatHint(hint))
+	if res.hint.Median > 0 {
+		r.Header.Set(_headerHint, formatHint(res.hint))
 	}
 	return r.WithContext(ctx)
 }
 
-// failed finds out what became of an attempt without an answer.
-func (e *exchange) failed(ctx context.Context, ref ledger.Ref, res *result, connected bool, silenced string) {
-	res.fate, res.reason = retry.Unknown, "no answer"
-	if silenced != "" {
-		res.reason = silenced
-	}
-	e.blockPath(res, !connected || silenced == _pathCut)
-	if !connected {
-		res.fate, res.reason = retry.NotRun, "no connection"
-		return
-	}
-	if !e.match.Route.Once && ctx.Err() == nil {
-		return
-	}
-	if state, ok := e.server.inquire(ctx, ref, res, true); ok && state == ledger.Dead {
-		res.fate, res.reason = retry.NotRun, "revoked"
-	}
-}
-
 // inquire asks the owner over a new connection what became of an attempt.
-func (s *Server) inquire(ctx context.Context, ref ledger.Ref, res *result, revoke bool) (ledger.State, bool) {
+func (s *Server) inquire(ctx context.Context, res *result, revoke bool) (ledger.State, bool) {
 	// A caller that went away still wants the truth on record.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), _inquiryTimeout)
 	defer cancel()
 	c := res.choice.Candidate
 	reply, err := s.client.CallFresh(ctx, c.Addr, proto.Inquire{
-		Attempt: ref, Instance: c.Key.ID, Owner: c.Epoch, Revoke: revoke,
+		Attempt: res.ref, Instance: c.Key.ID, Owner: c.Epoch, Revoke: revoke,
 	})
 	if err != nil {
 		return "", false
@@ -169,20 +174,19 @@
 }
 
 // blockPath avoids an owner for a while that could not be reached.
-func (e *exchange) blockPath(res *result, blocked bool) {
-	if !blocked {
-		return
-	}
+func (e *exchange) blockPath(res *result) {
 	e.service.mu.Lock()
 	defer e.service.mu.Unlock()
 	until := e.server.now() + _pathBlock
 	e.service.book.Change(res.choice.Candidate.Key, func(l *route.Load) { l.Blocked = until })
 }
 
-// learnEpoch follows an owner that has restarted since the view was made.
+// learnEpoch follows an owner that has restarted since the view was made; a
+// predecessor that still answers on old connections is left behind.
 func (e *exchange) learnEpoch(res *result) {
 	epoch, err := strconv.ParseUint(res.response.Header.Get(_headerOwner), 10, 64)
-	if err != nil {
+	if err != nil || epoch <= res.choice.Candidate.Epoch {
+		e.server.paths.doubt(res.choice.Candidate.Addr)
 		return
 	}
 	e.service.mu.Lock()
@@ -197,7 +201,7 @@
 	defer e.service.mu.Unlock()
 	e.service.book.Change(res.choice.Candidate.Key, func(l *route.Load) {
 		l.Sent--
-		l.Failing = res.fate == retry.Unknown || failedStatus(res.response)
+		l.Failing = res.fate != retry.Ran && res.fate != retry.NotRun || failedStatus(res.response)
 		if res.response == nil {
 			return
 		}
--- a/node/backend.go
+++ b/node/backend.go
@@ -164,16 +164,14 @@
 	for _, id := range slices.Sorted(maps.Keys(s.backs)) {
 		list = append(list, s.backs[id].instance)
 	}
-	return list, s.leaving
+	return list, s.stopping.Load()
 }
 
 // leave withdraws every instance when the node itself is to stop and has no
 // successor.
 func (s *Server) leave(ctx context.Context) error {
 	<-ctx.Done()
-	s.mu.Lock()
-	s.leaving = true
-	s.mu.Unlock()
+	s.stopping.Store(true)
 	s.log.Info("stopping")
 	return nil
 }
--- a/node/beat.go
+++ b/node/beat.go
@@ -44,7 +44,7 @@
 
 func (s *Server) beat(ctx context.Context) error {
 	instances, leaving := s.instances()
-	if leaving {
+	if leaving || s.succeeded {
 		return nil
 	}
 	var rev uint64
@@ -71,6 +71,12 @@
 		return errors.Errorf("enroll: %w", err)
 	}
 	if _, stale := result.(store.Stale); !stale {
+		s.enrolled = true
+		return nil
+	}
+	if s.enrolled {
+		s.log.Warn("succeeded by another process of this name")
+		s.succeeded = true
 		return nil
 	}
 	// The clock was set back since an earlier start: go past its epoch.
--- /dev/null
+++ b/node/course.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/retry"
+	"github.com/damaskpitch/damaskpitch/trip"
+)
+
+// travel runs the request's model to its end.
+func (e *exchange) travel(ctx context.Context) {
+	e.trip = trip.New(trip.Config{
+		Once:       e.match.Route.Once,
+		Key:        e.r.Header.Get(HeaderKey),
+		Replayable: e.replayable(),
+	})
+	if e.match.Route.Once && e.r.Header.Get(HeaderKey) != "" {
+		// A caller that went away sends again and wants the answer then.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), e.deadline)
+		defer cancel()
+	}
+	defer func() { e.last.discard() }()
+	var msg trip.Msg = trip.BeginMsg{}
+	for msg != nil {
+		msg = e.update(ctx, msg)
+	}
+}
+
+// update returns the message that the commands led to, or nil at the end.
+func (e *exchange) update(ctx context.Context, msg trip.Msg) trip.Msg {
+	model, cmds := e.trip.Update(msg)
+	e.trip = model
+	var next trip.Msg
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case trip.ClaimCmd:
+			next = e.take(ctx, cmd.Key)
+		case trip.AttemptCmd:
+			next = e.attempt(ctx, cmd)
+		case trip.RevokeCmd:
+			next = e.revoke(ctx)
+		case trip.SettleCmd:
+			e.settleClaim(cmd.Outcome)
+		case trip.DeliverCmd:
+			e.copyAnswer(e.last)
+		case trip.TellCmd:
+			e.tell(cmd)
+		case trip.RepeatCmd:
+			e.repeat(cmd.State)
+		case trip.ForbidCmd:
+			refuse(e.w, http.StatusUnprocessableEntity, "the key was used for another request")
+		}
+	}
+	return next
+}
+
+// attempt makes one attempt and says what came of it.
+func (e *exchange) attempt(ctx context.Context, cmd trip.AttemptCmd) trip.Msg {
+	if cmd.Retry && (ctx.Err() != nil || !cmd.Free && !e.spend()) {
+		e.server.log.Info("no retry", slog.String("request", e.id))
+		return trip.DeniedMsg{}
+	}
+	if cmd.Retry {
+		e.server.stats.retries.Inc(1)
+		e.last.discard()
+	}
+	res, ok := e.try(ctx)
+	if !ok {
+		return trip.NoneMsg{Left: time.Until(e.deadline)}
+	}
+	e.last = res
+	if res.response == nil {
+		return trip.LostMsg{Sent: res.sent, Reason: res.reason, Left: time.Until(e.deadline)}
+	}
+	return trip.AnswerMsg{
+		Fate:    res.fate,
+		Reason:  res.reason,
+		Free:    res.free,
+		Doubled: res.copies.Load() > 1,
+		Left:    time.Until(e.deadline),
+	}
+}
+
+// revoke asks the owner about the last attempt and forbids it.
+func (e *exchange) revoke(ctx context.Context) trip.Msg {
+	state, known := e.server.inquire(ctx, e.last, true)
+	return trip.FateMsg{Known: known, State: state, Left: time.Until(e.deadline)}
+}
+
+func (e *exchange) spend() bool {
+	e.service.mu.Lock()
+	defer e.service.mu.Unlock()
+	budget, ok := e.service.budget.Spend()
+	e.service.budget = budget
+	return ok
+}
+
+// tell tells the caller that the request was not run, or may have run.
+func (e *exchange) tell(cmd trip.TellCmd) {
+	if cmd.Fate == retry.NotRun {
+		e.server.stats.refused.Inc(1)
+		e.w.Header().Set("Retry-After", "1")
+		refuse(e.w, http.StatusServiceUnavailable, cmd.Reason)
+		return
+	}
+	e.server.stats.unknown.Inc(1)
+	e.w.Header().Set(HeaderOutcome, "unknown")
+	e.w.Header().Set(HeaderReason, cmd.Reason)
+	http.Error(e.w, "the request may have run: "+cmd.Reason, http.StatusGatewayTimeout)
+}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -13,8 +13,9 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/damaskpitch/damaskpitch/retry"
 	"github.com/damaskpitch/damaskpitch/route"
+	"github.com/damaskpitch/damaskpitch/store"
+	"github.com/damaskpitch/damaskpitch/trip"
 	"github.com/damaskpitch/damaskpitch/view"
 )
 
@@ -36,9 +37,11 @@
 	body     []byte
 	rest     io.Reader
 	deadline time.Time
-	tries    int
+	trip     trip.Model
+	last     *result
+	claim    store.Claim
+	claimed  store.Claimed
 	tried    []view.Key
-	answered bool
 }
 
 // serveCaller takes one request from a caller.
@@ -72,14 +75,14 @@
 		refuse(w, http.StatusBadRequest, "body: "+err.Error())
 		return
 	}
+	if reason := e.unfit(); reason != "" {
+		refuse(w, http.StatusBadRequest, reason)
+		return
+	}
 	service.mu.Lock()
 	service.budget = service.budget.First()
 	service.mu.Unlock()
-	if match.Route.Once && r.Header.Get(HeaderKey) != "" {
-		e.serveKeyed(ctx)
-		return
-	}
-	e.deliver(e.run(ctx))
+	e.travel(ctx)
 }
 
 // readBody keeps a short body, so that it can be sent again.
@@ -98,6 +101,20 @@
 	return nil
 }
 
+// unfit says why a request with an idempotency key cannot be claimed.
+func (e *exchange) unfit() string {
+	if !e.match.Route.Once || e.r.Header.Get(HeaderKey) == "" {
+		return ""
+	}
+	if len(e.r.Header.Get(HeaderKey)) > _maxKey {
+		return HeaderKey + " is longer than 255 bytes"
+	}
+	if !e.replayable() {
+		return "a request with a key has a body of 64 KiB at most"
+	}
+	return ""
+}
+
 func (e *exchange) replayable() bool {
 	return e.rest == nil
 }
@@ -113,59 +130,6 @@
 	return bytes.NewReader(e.body), int64(len(e.body))
 }
 
-// run makes attempts until one is answered or none may follow.
-func (e *exchange) run(ctx context.Context) *result {
-	for {
-		e.tries++
-		res := e.attempt(ctx)
-		verdict := retry.Decide(retry.Attempt{
-			Fate:       res.fate,
-			Once:       e.match.Route.Once,
-			Replayable: e.replayable(),
-			Tries:      e.tries,
-			Left:       time.Until(e.deadline),
-		})
-		if !verdict.Again || res.final || ctx.Err() != nil {
-			return res
-		}
-		if !res.free && !e.spend() {
-			e.server.log.Info("retry", slog.String("request", e.id), slog.String("reason", "budget"))
-			return res
-		}
-		e.server.stats.retries.Inc(1)
-		res.discard()
-	}
-}
-
-func (e *exchange) spend() bool {
-	e.service.mu.Lock()
-	defer e.service.mu.Unlock()
-	budget, ok := e.service.budget.Spend()
-	e.service.budget = budget
-	return ok
-}
-
-// deliver hands the result to the caller.
-func (e *exchange) deliver(res *result) {
-	if res.response != nil && res.fate == retry.Ran {
-		e.copyAnswer(res)
-		return
-	}
-	res.discard()
-	e.answered = true
-	switch res.fate {
-	case retry.NotRun:
-		e.server.stats.refused.Inc(1)
-		e.w.Header().Set("Retry-After", "1")
-		refuse(e.w, http.StatusServiceUnavailable, res.reason)
-	default:
-		e.server.stats.unknown.Inc(1)
-		e.w.Header().Set(HeaderOutcome, "unknown")
-		e.w.Header().Set(HeaderReason, res.reason)
-		http.Error(e.w, "the request may have run: "+res.reason, http.StatusGatewayTimeout)
-	}
-}
-
 // refuse tells a caller that the request was not run.
 func refuse(w http.ResponseWriter, status int, reason string) {
 	w.Header().Set(HeaderOutcome, "not-run")
@@ -207,7 +171,7 @@
 		slog.String("reason", string(c.Why)),
 		slog.Int("considered", c.Considered),
 		slog.Int("busy", c.Load.Busy),
-		slog.Int("try", e.tries))
+		slog.Int("try", e.trip.Tries()))
 }
 
 // randomBits mixes the attempt's count into bits for a choice.
--- a/node/keyed.go
+++ b/node/keyed.go
@@ -8,14 +8,15 @@
 	"maps"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/damaskpitch/damaskpitch/claim"
+	"github.com/damaskpitch/damaskpitch/ledger"
 	"github.com/damaskpitch/damaskpitch/retry"
 	"github.com/damaskpitch/damaskpitch/store"
+	"github.com/damaskpitch/damaskpitch/trip"
 )
 
 const (
@@ -27,44 +28,30 @@
 	_settlePatience = 300 * time.Millisecond
 )
 
-// serveKeyed claims the idempotency key, runs the request once, and settles
-// the claim with the answer.
-func (e *exchange) serveKeyed(ctx context.Context) {
-	key := e.r.Header.Get(HeaderKey)
-	if len(key) > _maxKey {
-		refuse(e.w, http.StatusBadRequest, HeaderKey+" is longer than 255 bytes")
-		return
-	}
-	if !e.replayable() {
-		refuse(e.w, http.StatusRequestEntityTooLarge, "a request with a key has a body of 64 KiB at most")
-		return
-	}
-	c := store.Claim{
+// take claims the idempotency key.
+func (e *exchange) take(ctx context.Context, key string) trip.ClaimedMsg {
+	seq := e.server.seq.Add(1)
+	e.claim = store.Claim{
 		Key:    e.match.Service.Name + "/" + key,
 		Digest: e.digest(),
-		Holder: e.server.cfg.Settings.Name + "." + strconv.FormatUint(e.server.epoch.Load(), 10) +
-			"." + strconv.FormatUint(e.server.seq.Add(1), 10),
-		TTL: time.Until(e.deadline) + _claimMargin,
+		Holder: ledger.Ref{Node: e.server.cfg.Settings.Name, Epoch: e.server.epoch.Load(), Seq: seq}.String(),
+		TTL:    time.Until(e.deadline) + _claimMargin,
 	}
-	claimed, err := e.server.submit(ctx, c)
+	answer, err := e.server.submit(ctx, e.claim)
 	if err != nil {
-		refuse(e.w, http.StatusServiceUnavailable, "the key could not be claimed")
-		// The claim may have been taken all the same: give it back.
-		go e.server.settle(c, claim.NotRun, claim.Answer{})
-		return
+		return trip.ClaimedMsg{Claim: trip.Failed}
 	}
-	switch claimed := claimed.(type) {
+	switch answer := answer.(type) {
 	case store.Mismatched:
-		refuse(e.w, http.StatusUnprocessableEntity, "the key was used for another request")
+		return trip.ClaimedMsg{Claim: trip.Mismatch}
 	case store.Claimed:
-		if claimed.Granted {
-			e.runClaimed(ctx, c)
-			return
+		e.claimed = answer
+		if answer.Granted {
+			return trip.ClaimedMsg{Claim: trip.Granted}
 		}
-		e.repeat(claimed)
-	default:
-		refuse(e.w, http.StatusServiceUnavailable, "the key could not be claimed")
+		return trip.ClaimedMsg{Claim: trip.Held, State: answer.State}
 	}
+	return trip.ClaimedMsg{Claim: trip.Failed}
 }
 
 // digest tells a resend from another request under the same key.
@@ -75,43 +62,23 @@
 	return d.Sum64()
 }
 
-// runClaimed runs the request; its answer is on record before the caller has
-// it.
-func (e *exchange) runClaimed(ctx context.Context, c store.Claim) {
-	// A caller that went away sends again and wants the answer then.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), e.deadline)
-	defer cancel()
-	res := e.run(ctx)
-	if res.fate != retry.Ran {
-		outcome := claim.Unclear
-		if res.fate == retry.NotRun {
-			outcome = claim.NotRun
+// settleClaim puts the outcome on record; an answer goes on record before the
+// caller has it, unless that takes long: the caller has waited already.
+func (e *exchange) settleClaim(outcome claim.Outcome) {
+	var answer claim.Answer
+	if outcome == claim.Ran {
+		full, whole, kept := readAnswer(e.last)
+		if !whole {
+			outcome = claim.Unclear
+		}
+		if whole && kept {
+			answer = full
 		}
-		e.server.settle(c, outcome, claim.Answer{})
-		e.deliver(res)
-		return
-	}
-	answer, whole, kept := readAnswer(res)
-	if !whole {
-		e.server.settle(c, claim.Unclear, claim.Answer{})
-		res.discard()
-		e.deliver(&result{fate: retry.Unknown, reason: "answer cut short"})
-		return
-	}
-	if !kept {
-		answer = claim.Answer{}
 	}
-	e.settleSoon(c, answer)
-	e.deliver(res)
-}
-
-// settleSoon waits a moment for the claims, but not longer: the caller has
-// waited for the request already.
-func (e *exchange) settleSoon(c store.Claim, answer claim.Answer) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		e.server.settle(c, claim.Ran, answer)
+		e.server.settle(e.claim, outcome, answer)
 	}()
 	select {
 	case <-done:
@@ -122,10 +89,14 @@
 // readAnswer reads the whole answer; what is short enough is kept.
 func readAnswer(res *result) (claim.Answer, bool, bool) {
 	body, err := io.ReadAll(io.LimitReader(res.response.Body, _maxReplay+1))
+	rest := res.response.Body
 	if err != nil {
+		res.response.Body = struct {
+			io.Reader
+			io.Closer
+		}{failingReader{err}, rest}
 		return claim.Answer{}, false, false
 	}
-	rest := res.response.Body
 	res.response.Body = struct {
 		io.Reader
 		io.Closer
@@ -153,28 +124,32 @@
 	s.log.Warn("claim not settled", slog.String("key", c.Key), slog.String("outcome", string(outcome)))
 }
 
+// failingReader gives the error that an answer ended with.
+type failingReader struct{ err error }
+
+// Read returns the error.
+func (f failingReader) Read([]byte) (int, error) { return 0, f.err }
+
 // repeat answers a caller whose key was claimed before.
-func (e *exchange) repeat(c store.Claimed) {
-	switch c.State {
-	case claim.Done:
-		if c.Answer.Status == 0 {
-			e.w.Header().Set(HeaderOutcome, "ran")
-			e.w.Header().Set(HeaderReason, "answer not kept")
-			http.Error(e.w, "the request ran once; its answer was too long to keep", http.StatusConflict)
-			return
-		}
-		for _, h := range c.Answer.Header {
+func (e *exchange) repeat(state claim.State) {
+	switch {
+	case state == claim.Done && e.claimed.Answer.Status == 0:
+		e.w.Header().Set(HeaderOutcome, "ran")
+		e.w.Header().Set(HeaderReason, "answer not kept")
+		http.Error(e.w, "the request ran once; its answer was too long to keep", http.StatusConflict)
+	case state == claim.Done:
+		for _, h := range e.claimed.Answer.Header {
 			e.w.Header().Add(h.Name, h.Value)
 		}
 		e.w.Header().Set(HeaderOutcome, "ran")
 		e.w.Header().Set(HeaderReason, "repeat")
-		e.w.WriteHeader(c.Answer.Status)
-		_, _ = e.w.Write(c.Answer.Body)
-	case claim.Running:
+		e.w.WriteHeader(e.claimed.Answer.Status)
+		_, _ = e.w.Write(e.claimed.Answer.Body)
+	case state == claim.Running:
 		e.w.Header().Set("Retry-After", "1")
 		e.w.Header().Set(HeaderOutcome, "running")
 		http.Error(e.w, "the first request with this key still runs", http.StatusConflict)
 	default:
-		e.deliver(&result{fate: retry.Unknown, reason: "the first request with this key may have run"})
+		e.tell(trip.TellCmd{Fate: retry.Unknown, Reason: "the first request with this key may have run"})
 	}
 }
--- a/node/listen.go
+++ b/node/listen.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sys/unix"
 )
 
-const _acceptDrain = 300 * time.Millisecond
+const _partingTime = 3 * time.Second
 
 // listen opens an address that a successor may open too, so that a restart
 // refuses nobody.
@@ -25,6 +25,8 @@
 		})
 		return errors.CombineErrors(err, failed)
 	}}
+	// Multipath sockets cannot be steered.
+	lc.SetMultipathTCP(false)
 	l, err := lc.Listen(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Errorf("listen on %s: %w", addr, err)
@@ -36,7 +38,8 @@
 	return tcp, nil
 }
 
-// yield steers new connections to the successor, which listens second.
+// yield steers new connections to the successor, which listens second; either
+// process may ask for it.
 func yield(l *net.TCPListener) error {
 	program, err := bpf.Assemble([]bpf.Instruction{bpf.RetConstant{Val: 1}})
 	if err != nil {
@@ -65,11 +68,16 @@
 	if err != nil {
 		return err
 	}
+	if s.inherited {
+		if err := yield(l); err != nil {
+			s.log.Warn("steer new connections here", slog.String("addr", addr), slog.Any("error", err))
+		}
+	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{
-		Handler:           h,
+		Handler:           s.partings(h),
 		Protocols:         &protocols,
 		ReadHeaderTimeout: _headerTimeout,
 		IdleTimeout:       _idleTimeout,
@@ -86,13 +94,24 @@
 	return s.drain(server, l, addr)
 }
 
+// partings tells callers with each answer to leave once the node is to stop.
+func (s *Server) partings(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // drain stops taking connections without dropping one that was already made.
 func (s *Server) drain(server *http.Server, l *net.TCPListener, addr string) error {
-	server.SetKeepAlivesEnabled(false)
 	if err := yield(l); err != nil {
 		s.log.Warn("steer new connections to the successor", slog.String("addr", addr), slog.Any("error", err))
 	}
-	time.Sleep(_acceptDrain)
+	// Callers that stay busy leave with their next answer; closing their
+	// connections at once would cut requests that are on their way.
+	time.Sleep(_partingTime)
 	ctx, cancel := context.WithTimeout(context.Background(), _drainTimeout)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
--- a/node/local.go
+++ b/node/local.go
@@ -97,6 +97,7 @@
 	if err != nil || !ok {
 		return
 	}
+	s.inherited = true
 	s.epoch.Store(max(s.epoch.Load(), legacy.Epoch+1))
 	s.follow.update(ctx, spread.DeltaMsg{At: s.now(), Source: spread.Peer, Addr: s.cfg.Settings.Peer, Delta: proto.Delta{
 		Cluster: legacy.View.Cluster, Rev: legacy.View.Rev, Snapshot: &legacy.View,
--- a/node/server.go
+++ b/node/server.go
@@ -52,12 +52,18 @@
 	follow *follower
 	kick   chan struct{}
 
-	mu      sync.Mutex
-	gate    gate.Model
-	waiting map[ledger.Ref]chan gate.Cmd
-	backs   map[string]*backend
-	leader  string
-	leaving bool
+	mu       sync.Mutex
+	gate     gate.Model
+	waiting  map[ledger.Ref]chan gate.Cmd
+	backs    map[string]*backend
+	leader   string
+	stopping atomic.Bool
+
+	inherited bool // from a predecessor that still runs
+
+	// Owned by the heartbeat's loop.
+	enrolled  bool
+	succeeded bool
 }
 
 // New returns a node that runs nothing yet.
--- a/node/silence.go
+++ b/node/silence.go
@@ -6,15 +6,12 @@
 	"time"
 
 	"github.com/damaskpitch/damaskpitch/ledger"
-	"github.com/damaskpitch/damaskpitch/route"
+	"github.com/damaskpitch/damaskpitch/trip"
 )
 
 const (
 	_inquiryTimeout = 500 * time.Millisecond
 	_answerMargin   = 50 * time.Millisecond
-
-	_connSilent = "connection silent"
-	_pathCut    = "owner unreachable"
 )
 
 // silence watches an attempt that has no answer yet.
@@ -26,72 +23,67 @@
 }
 
 // watchSilence asks the owner, over a new connection, about an attempt that
-// stays without an answer: when the owner never had it, or has answered it
-// long ago, the old connections are dead and the attempt is given up.
-func (e *exchange) watchSilence(
-	ctx context.Context, ref ledger.Ref, res *result, giveUp context.CancelFunc,
-) *silence {
+// stays without an answer.
+func (e *exchange) watchSilence(ctx context.Context, res *result) *silence {
 	w := &silence{}
-	patience := e.silentAfter(res)
-	w.timer = time.AfterFunc(patience, func() { e.checkSilence(ctx, ref, res, w, patience, giveUp) })
+	patience := max(_silentLeast, _silentFactor*res.choice.Load.Took)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(patience, func() {
+		if ctx.Err() == nil && e.quiet(ctx, res, w) {
+			w.again(patience)
+		}
+	})
 	return w
 }
 
-func (e *exchange) silentAfter(res *result) time.Duration {
-	return max(_silentLeast, _silentFactor*res.choice.Load.Took)
+// quiet takes the owner's word and reports whether to go on waiting.
+func (e *exchange) quiet(ctx context.Context, res *result, w *silence) bool {
+	state, reached := e.server.inquire(ctx, res, false)
+	if reached && state == ledger.Finished && w.answered(ctx) {
+		return false
+	}
+	_, cmds := e.trip.Update(trip.QuietMsg{Reached: reached, State: state})
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case trip.WaitCmd:
+			if cmd.Block {
+				e.blockPath(res)
+			}
+		case trip.GiveUpCmd:
+			e.giveUp(res, cmd, w)
+			return false
+		}
+	}
+	return true
 }
 
-func (e *exchange) checkSilence(
-	ctx context.Context, ref ledger.Ref, res *result, w *silence, patience time.Duration, giveUp context.CancelFunc,
-) {
-	if ctx.Err() != nil {
-		return
-	}
-	state, reached := e.server.inquire(ctx, ref, res, false)
-	addr := res.choice.Candidate.Addr
-	switch {
-	case !reached && !e.match.Route.Once:
-		w.end(_pathCut, giveUp)
-	case reached && state == ledger.Absent:
-		e.server.stats.silent.Inc(1)
-		e.server.paths.doubt(addr)
-		w.end(_connSilent, giveUp)
-	case reached && state == ledger.Finished && w.waited(ctx):
+func (e *exchange) giveUp(res *result, cmd trip.GiveUpCmd, w *silence) {
+	if cmd.Doubt {
 		e.server.stats.silent.Inc(1)
-		e.server.paths.doubt(addr)
-		w.end(_connSilent, giveUp)
-	default:
-		w.again(patience)
+		e.server.paths.doubt(res.choice.Candidate.Addr)
 	}
-	if reached {
+	if cmd.Block {
+		e.blockPath(res)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.over {
 		return
 	}
-	e.service.mu.Lock()
-	defer e.service.mu.Unlock()
-	until := e.server.now() + _pathBlock
-	e.service.book.Change(res.choice.Candidate.Key, func(l *route.Load) { l.Blocked = until })
+	w.reason = cmd.Reason
+	res.cancel()
 }
 
-// waited gives an answer that is on its way a moment to arrive.
-func (w *silence) waited(ctx context.Context) bool {
+// answered gives an answer that is on its way a moment to arrive.
+func (w *silence) answered(ctx context.Context) bool {
 	select {
 	case <-ctx.Done():
-		return false
 	case <-time.After(_answerMargin):
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.over
-}
-
-func (w *silence) end(reason string, giveUp context.CancelFunc) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.over {
-		return
-	}
-	w.reason = reason
-	giveUp()
+	return w.over
 }
 
 func (w *silence) again(patience time.Duration) {
--- a/trials/fleet_test.go
+++ b/trials/fleet_test.go
@@ -14,10 +14,13 @@
 	"testing"
 	"time"
 
+	"github.com/goccy/go-yaml"
+
 	"github.com/damaskpitch/damaskpitch/config"
+	"github.com/damaskpitch/damaskpitch/ctrl"
 	"github.com/damaskpitch/damaskpitch/fakes"
 	"github.com/damaskpitch/damaskpitch/spec"
-	"github.com/goccy/go-yaml"
+	"github.com/damaskpitch/damaskpitch/view"
 )
 
 const (
@@ -50,10 +53,11 @@
 	controls []config.Control
 	nodes    []config.Node
 	procs    map[string]*exec.Cmd
+	epochs   map[string]uint64
 }
 
 func newFleet(t *testing.T, controls, nodes int) *fleet {
-	f := &fleet{t: t, folder: t.TempDir(), procs: map[string]*exec.Cmd{}}
+	f := &fleet{t: t, folder: t.TempDir(), procs: map[string]*exec.Cmd{}, epochs: map[string]uint64{}}
 	var hosts []config.Host
 	for n := range controls {
 		hosts = append(hosts, config.Host{Name: fmt.Sprintf("c%d", n+1), Addr: freeAddr(t)})
@@ -210,6 +214,44 @@
 	return answer, nil
 }
 
+func (f *fleet) members() ([]view.Host, error) {
+	var hosts []view.Host
+	return hosts, f.get(0, "/v1/members", &hosts)
+}
+
+func (f *fleet) status(control int) (ctrl.FleetStatus, error) {
+	var status ctrl.FleetStatus
+	return status, f.get(control, "/v1/status", &status)
+}
+
+// inForce checks that every node holds the newest revision.
+func (f *fleet) inForce() error {
+	status, err := f.status(0)
+	if err != nil {
+		return err
+	}
+	if len(status.Nodes) != len(f.nodes) {
+		return fmt.Errorf("%d nodes", len(status.Nodes))
+	}
+	for _, n := range status.Nodes {
+		if n.Rev < status.Rev {
+			return fmt.Errorf("node %s holds %d of %d", n.Node, n.Rev, status.Rev)
+		}
+	}
+	return nil
+}
+
+func (f *fleet) get(control int, path string, into any) error {
+	status, body, err := f.call(http.MethodGet, "http://"+f.controls[control].API+path, nil, nil)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return fmt.Errorf("status %d: %s", status, body)
+	}
+	return json.Unmarshal(body, into)
+}
+
 func (f *fleet) eventually(what string, try func() error) {
 	f.t.Helper()
 	deadline := time.Now().Add(_patient)
--- /dev/null
+++ b/trials/stops_test.go
@@ -0,0 +1,176 @@
+package trials
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/fakes"
+)
+
+// load keeps callers and downloads busy until it is ended.
+type load struct {
+	f       *fleet
+	wg      sync.WaitGroup
+	stop    chan struct{}
+	served  atomic.Int64
+	mu      sync.Mutex
+	failure []error
+}
+
+func startLoad(f *fleet, callers int, nodes ...int) *load {
+	l := &load{f: f, stop: make(chan struct{})}
+	for n := range callers {
+		l.wg.Go(func() { l.run(n, nodes[n%len(nodes)]) })
+	}
+	return l
+}
+
+func (l *load) run(caller, node int) {
+	for n := 0; ; n++ {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		if err := l.once(caller, node, n); err != nil {
+			l.mu.Lock()
+			l.failure = append(l.failure, err)
+			l.mu.Unlock()
+			continue
+		}
+		l.served.Add(1)
+	}
+}
+
+func (l *load) once(caller, node, n int) error {
+	if caller%4 != 0 {
+		_, err := l.f.ask(node, fmt.Sprintf("/check/%d-%d", caller, n))
+		return err
+	}
+	path := fmt.Sprintf("/blob/%d-%d", caller, n)
+	status, body, err := l.f.call(http.MethodGet, "http://"+l.f.nodes[node].Caller+path, nil, nil)
+	if err == nil && (status != http.StatusOK || !bytes.Equal(body, fakes.Blob(path))) {
+		return fmt.Errorf("download: status %d, %d bytes", status, len(body))
+	}
+	return err
+}
+
+func (l *load) end() []error {
+	close(l.stop)
+	l.wg.Wait()
+	return l.failure
+}
+
+// TestNodeRestart replaces both nodes by successors, again and again, under
+// load with downloads: no request is cut or refused.
+func TestNodeRestart(t *testing.T) {
+	f, a, b := ready(t)
+	a.Behave(fakes.Behaviour{Delay: 5 * time.Millisecond})
+	b.Behave(fakes.Behaviour{Delay: 5 * time.Millisecond})
+	l := startLoad(f, 8, 0, 1)
+	for round := range 4 {
+		time.Sleep(500 * time.Millisecond)
+		f.succeed(round % 2)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for n, err := range l.end() {
+		if n < 5 {
+			t.Errorf("failed: %v", err)
+		}
+	}
+	t.Logf("served %d requests over 4 restarts", l.served.Load())
+}
+
+// succeed starts a successor of a node, and stops the old process once the
+// new one listens.
+func (f *fleet) succeed(node int) {
+	name := f.nodes[node].Name
+	old := f.procs[name]
+	f.startNode(node)
+	f.eventually("successor", func() error { return f.enrolled(node) })
+	f.stop(old.Process)
+	if err := old.Wait(); err != nil {
+		f.t.Errorf("%s did not stop cleanly: %v", name, err)
+	}
+}
+
+func (f *fleet) enrolled(node int) error {
+	hosts, err := f.members()
+	if err != nil {
+		return err
+	}
+	for _, h := range hosts {
+		if h.Member.Node == f.nodes[node].Name && h.Member.Epoch > f.epochs[h.Member.Node] {
+			f.epochs[h.Member.Node] = h.Member.Epoch
+			return nil
+		}
+	}
+	return errors.New("not enrolled yet")
+}
+
+func (f *fleet) stop(p *os.Process) {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// TestPlannedStop stops a node without a successor: what is in flight there
+// finishes, and the other node's callers notice nothing.
+func TestPlannedStop(t *testing.T) {
+	f, a, b := ready(t)
+	a.Behave(fakes.Behaviour{Delay: 300 * time.Millisecond})
+	b.Behave(fakes.Behaviour{Delay: 20 * time.Millisecond})
+	l := startLoad(f, 6, 1)
+	var own sync.WaitGroup
+	for n := range 3 {
+		own.Go(func() {
+			if _, err := f.ask(0, fmt.Sprintf("/check/in-flight-%d", n)); err != nil {
+				t.Errorf("cut: %v", err)
+			}
+		})
+	}
+	time.Sleep(150 * time.Millisecond)
+	old := f.procs[f.nodes[0].Name]
+	f.stop(old.Process)
+	own.Wait()
+	if err := old.Wait(); err != nil {
+		t.Errorf("did not stop cleanly: %v", err)
+	}
+	delete(f.procs, f.nodes[0].Name)
+	time.Sleep(500 * time.Millisecond)
+	for n, err := range l.end() {
+		if n < 5 {
+			t.Errorf("the other node's caller: %v", err)
+		}
+	}
+}
+
+// TestLeavingBackend lets a backend server leave under load: no request fails
+// and none reaches it once the grace is over.
+func TestLeavingBackend(t *testing.T) {
+	f, a, _ := ready(t)
+	l := startLoad(f, 6, 0, 1)
+	time.Sleep(300 * time.Millisecond)
+	if err := a.Leave(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(lookup().Grace.Std() + 200*time.Millisecond)
+	before := a.Count()
+	time.Sleep(time.Second)
+	if after := a.Count(); after != before {
+		t.Errorf("%d requests reached a server that had left", after-before)
+	}
+	for n, err := range l.end() {
+		if n < 5 {
+			t.Errorf("failed: %v", err)
+		}
+	}
+}
--- /dev/null
+++ b/trip/trip.go
@@ -0,0 +1,188 @@
+package trip
+
+import (
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/claim"
+	"github.com/damaskpitch/damaskpitch/ledger"
+	"github.com/damaskpitch/damaskpitch/retry"
+)
+
+const (
+	_reasonSilent = "connection silent"
+	_reasonCut    = "owner unreachable"
+)
+
+// Config is what is known of a request when it comes.
+type Config struct {
+	// Once marks a request that is not idempotent.
+	Once bool
+	// Key is the caller's idempotency key, or empty.
+	Key string
+	// Replayable says that the body can be sent again.
+	Replayable bool
+}
+
+// Model is one request's course; one loop owns it.
+type Model struct {
+	cfg     Config
+	claimed bool
+	unsure  bool // an earlier attempt may have run
+	tries   int
+	fate    retry.Fate
+	reason  string
+}
+
+// New returns the model of a request that has not begun.
+func New(cfg Config) Model {
+	return Model{cfg: cfg}
+}
+
+// Tries returns the number of attempts so far.
+func (m Model) Tries() int {
+	return m.tries
+}
+
+// Update folds one message in and returns what follows from it.
+func (m Model) Update(msg Msg) (Model, []Cmd) {
+	switch msg := msg.(type) {
+	case BeginMsg:
+		return m.begin()
+	case ClaimedMsg:
+		return m.onClaimed(msg)
+	case AnswerMsg:
+		return m.onAnswer(msg)
+	case LostMsg:
+		return m.onLost(msg)
+	case FateMsg:
+		return m.onFate(msg)
+	case NoneMsg:
+		return m.none()
+	case DeniedMsg:
+		return m.finish()
+	case QuietMsg:
+		return m, m.onQuiet(msg)
+	}
+	return m, nil
+}
+
+func (m Model) begin() (Model, []Cmd) {
+	if m.cfg.Once && m.cfg.Key != "" {
+		return m, []Cmd{ClaimCmd{Key: m.cfg.Key}}
+	}
+	return m.attempt(false)
+}
+
+func (m Model) attempt(free bool) (Model, []Cmd) {
+	m.tries++
+	return m, []Cmd{AttemptCmd{Retry: m.tries > 1, Free: free}}
+}
+
+func (m Model) onClaimed(msg ClaimedMsg) (Model, []Cmd) {
+	switch msg.Claim {
+	case Granted:
+		m.claimed = true
+		return m.attempt(false)
+	case Held:
+		return m, []Cmd{RepeatCmd{State: msg.State}}
+	case Mismatch:
+		return m, []Cmd{ForbidCmd{}}
+	default:
+		// The key may be claimed all the same; nothing ran under it here.
+		return m, []Cmd{
+			TellCmd{Fate: retry.NotRun, Reason: "the key could not be claimed"},
+			SettleCmd{Outcome: claim.NotRun},
+		}
+	}
+}
+
+func (m Model) onAnswer(msg AnswerMsg) (Model, []Cmd) {
+	m.fate, m.reason = msg.Fate, msg.Reason
+	if msg.Fate == retry.NotRun && msg.Doubled {
+		m.fate = retry.Unknown
+	}
+	if msg.Fate == retry.Ran {
+		return m.finish()
+	}
+	return m.decide(msg.Left, msg.Free)
+}
+
+func (m Model) onLost(msg LostMsg) (Model, []Cmd) {
+	m.fate, m.reason = retry.Unknown, msg.Reason
+	if !msg.Sent {
+		m.fate = retry.NotRun
+		return m.decide(msg.Left, false)
+	}
+	if m.cfg.Once {
+		return m, []Cmd{RevokeCmd{}}
+	}
+	return m.decide(msg.Left, false)
+}
+
+func (m Model) onFate(msg FateMsg) (Model, []Cmd) {
+	if msg.Known && msg.State == ledger.Dead {
+		m.fate, m.reason = retry.NotRun, "revoked"
+	}
+	return m.decide(msg.Left, false)
+}
+
+func (m Model) none() (Model, []Cmd) {
+	if m.tries == 1 {
+		m.fate, m.reason = retry.NotRun, "no instance"
+	}
+	return m.finish()
+}
+
+func (m Model) decide(left time.Duration, free bool) (Model, []Cmd) {
+	m.unsure = m.unsure || m.fate == retry.Unknown
+	verdict := retry.Decide(retry.Attempt{
+		Fate:       m.fate,
+		Once:       m.cfg.Once,
+		Replayable: m.cfg.Replayable,
+		Tries:      m.tries,
+		Left:       left,
+	})
+	if verdict.Again {
+		return m.attempt(free)
+	}
+	return m.finish()
+}
+
+// finish tells the caller; "not run" holds for every attempt, not the last.
+func (m Model) finish() (Model, []Cmd) {
+	if m.fate == retry.NotRun && m.unsure {
+		m.fate = retry.Unknown
+	}
+	var cmds []Cmd
+	if m.claimed {
+		cmds = append(cmds, SettleCmd{Outcome: outcomeOf(m.fate)})
+	}
+	if m.fate == retry.Ran {
+		return m, append(cmds, DeliverCmd{})
+	}
+	return m, append(cmds, TellCmd{Fate: m.fate, Reason: m.reason})
+}
+
+// onQuiet tells a slow instance from dead connections and from a cut path.
+func (m Model) onQuiet(msg QuietMsg) []Cmd {
+	switch {
+	case !msg.Reached && m.cfg.Once:
+		return []Cmd{WaitCmd{Block: true}}
+	case !msg.Reached:
+		return []Cmd{GiveUpCmd{Reason: _reasonCut, Block: true}}
+	case msg.State == ledger.Absent, msg.State == ledger.Finished:
+		return []Cmd{GiveUpCmd{Reason: _reasonSilent, Doubt: true}}
+	}
+	return []Cmd{WaitCmd{}}
+}
+
+func outcomeOf(f retry.Fate) claim.Outcome {
+	switch f {
+	case retry.Ran:
+		return claim.Ran
+	case retry.NotRun:
+		return claim.NotRun
+	default:
+		return claim.Unclear
+	}
+}
