--- a/config/config.go
+++ b/config/config.go
@@ -87,17 +87,27 @@
 
 func (c Control) check(file string) error {
 	for _, h := range c.Hosts {
-		if h.Name == c.Name && h.Addr == c.Peer {
+		if h.Name == c.Name {
 			return nil
 		}
 	}
 	return errors.Errorf("%s: %w", file, &spec.FieldError{
 		Field: "Control.hosts",
-		Value: c.Name + " " + c.Peer,
-		Want:  "an entry with this host's name and peer address",
+		Value: c.Name,
+		Want:  "an entry with this host's name",
 	})
 }
 
+// AddrOf returns the address of a control host as this one reaches it.
+func (c Control) AddrOf(name string) string {
+	for _, h := range c.Hosts {
+		if h.Name == name {
+			return h.Addr
+		}
+	}
+	return ""
+}
+
 func newValidator() *validator.Validate {
 	v := spec.NewValidator()
 	if err := v.RegisterValidation("ip_port", isIPPort); err != nil {
--- a/ctrl/boot.go
+++ b/ctrl/boot.go
@@ -79,7 +79,15 @@
 }
 
 func (s *Server) self() raft.Peer {
-	return raft.Peer{ID: s.disk.ID(), Name: s.cfg.Settings.Name, Addr: s.cfg.Settings.Peer}
+	return raft.Peer{ID: s.disk.ID(), Name: s.cfg.Settings.Name, Addr: s.cfg.Settings.AddrOf(s.cfg.Settings.Name)}
+}
+
+// addrOf prefers this host's own settings to what the peer says of itself.
+func (s *Server) addrOf(p raft.Peer) string {
+	if addr := s.cfg.Settings.AddrOf(p.Name); addr != "" {
+		return addr
+	}
+	return p.Addr
 }
 
 func (s *Server) call(ctx context.Context, addr string, msg any) (any, error) {
--- a/ctrl/post.go
+++ b/ctrl/post.go
@@ -29,12 +29,12 @@
 	return &post{client: client, queues: map[string]chan raft.Letter{}, ctx: ctx}
 }
 
-func (p *post) send(to raft.Peer, letter raft.Letter) {
-	if to.Addr == "" {
+func (p *post) send(addr string, letter raft.Letter) {
+	if addr == "" {
 		return
 	}
 	select {
-	case p.queue(to.Addr) <- letter:
+	case p.queue(addr) <- letter:
 	default:
 	}
 }
--- a/ctrl/rpc.go
+++ b/ctrl/rpc.go
@@ -138,7 +138,7 @@
 	status := s.replica.Status()
 	for _, p := range status.Peers {
 		if p.ID == status.Leader {
-			return p.Addr
+			return s.addrOf(p)
 		}
 	}
 	return ""
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -71,7 +71,7 @@
 	s.replica, err = NewReplica(ReplicaConfig{
 		Group:  _fleet,
 		Disk:   d,
-		Send:   s.post.send,
+		Send:   func(to raft.Peer, letter raft.Letter) { s.post.send(s.addrOf(to), letter) },
 		Lead:   func(leading bool) { s.leads <- leading },
 		Logger: s.log,
 		Store:  cfg.Store,
--- a/trials/fleet_test.go
+++ b/trials/fleet_test.go
@@ -241,6 +241,8 @@
 	return nil
 }
 
+func unmarshal(data []byte, into any) error { return json.Unmarshal(data, into) }
+
 func (f *fleet) get(control int, path string, into any) error {
 	status, body, err := f.call(http.MethodGet, "http://"+f.controls[control].API+path, nil, nil)
 	if err != nil {
