--- a/config/config.go
+++ b/config/config.go
@@ -96,6 +96,9 @@
 }
 
 func (c Control) check(file string) error {
+	if err := checkFolder(c.Data); err != nil {
+		return errors.Errorf("%s: %w", file, err)
+	}
 	for _, h := range c.Hosts {
 		if h.Name == c.Name {
 			return nil
@@ -108,6 +111,22 @@
 	})
 }
 
+// checkFolder makes the data folder and writes to it.
+func checkFolder(folder string) error {
+	err := os.MkdirAll(folder, 0o700)
+	if err == nil {
+		var probe *os.File
+		probe, err = os.CreateTemp(folder, "probe-")
+		if err == nil {
+			err = errors.CombineErrors(probe.Close(), os.Remove(probe.Name()))
+		}
+	}
+	if err == nil {
+		return nil
+	}
+	return &spec.FieldError{Field: "Control.data", Value: folder, Want: "a folder that can be written: " + err.Error()}
+}
+
 // AddrOf returns the address of a control host as this one reaches it.
 func (c Control) AddrOf(name string) string {
 	for _, h := range c.Hosts {
--- a/spec/check.go
+++ b/spec/check.go
@@ -68,6 +68,13 @@
 			Want:  fmt.Sprintf("at most the size of %d instances", s.Size),
 		}
 	}
+	if s.Slots > s.Conns {
+		return &FieldError{
+			Field: "Service.slots",
+			Value: fmt.Sprint(s.Slots),
+			Want:  fmt.Sprintf("at most the %d connections, as each request holds one", s.Conns),
+		}
+	}
 	return s.checkRoutes()
 }
 
