Refuse a request that crashes its backend servers

Owners now report what was in flight at a crash, less what lately ended well; two crashes of different instances ban the fingerprint everywhere, and the ingress that saw both holds it at once. A request goes to at most two servers that crash.

Ruled out: no retry after a crash at all (innocent callers aboard would pay). Changes go out after 20 ms instead of 100 ms, so that a ban is in force sooner.

--- a/ctrl/rpc.go
+++ b/ctrl/rpc.go
@@ -16,7 +16,7 @@
 
 const (
 	_maxWait  = 20 * time.Second
-	_coalesce = 100 * time.Millisecond
+	_coalesce = 20 * time.Millisecond
 )
 
 // ErrUnavailable says that no leader with a quorum is known; nothing was done.
--- a/fakes/backend.go
+++ b/fakes/backend.go
@@ -20,6 +20,9 @@
 	_announceEvery = time.Second
 	_lease         = "5s"
 	_blobSize      = 1 << 20
+
+	// _deadly is in the path of a request that crashes its backend server.
+	_deadly = "deadly"
 )
 
 // Behaviour is how a backend server treats its next requests.
@@ -138,6 +141,9 @@
 	return b.server.Close()
 }
 
+// Crashed reports whether the backend server went away.
+func (b *Backend) Crashed() bool { return b.leaving.Load() }
+
 // Leave tells the node that this backend server leaves.
 func (b *Backend) Leave(ctx context.Context) error {
 	b.leaving.Store(true)
@@ -195,6 +201,10 @@
 	if how.Share > 0 && float64(n%100) >= how.Share*100 {
 		how = Behaviour{}
 	}
+	if strings.Contains(r.URL.Path, _deadly) {
+		_ = b.Crash()
+		return
+	}
 	if b.spoil(w, r, how.Fault) {
 		return
 	}
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -120,6 +120,12 @@
 		return
 	}
 	res.reason = header.Get(HeaderReason)
+	if strings.Contains(res.reason, _reasonCrash) {
+		e.crashes++
+		if e.crashes == _mostCrashes {
+			e.server.fleet.hold(e.digest())
+		}
+	}
 	switch fate := retry.Fate(header.Get(_headerFate)); fate {
 	case retry.Ran, retry.NotRun:
 		res.fate = fate
@@ -154,6 +160,9 @@
 	r.Header.Set(_headerInstance, c.Key.ID)
 	r.Header.Set(_headerLeft, formatMillis(time.Until(e.deadline)))
 	r.Header.Set(HeaderCaller, e.caller)
+	if e.replayable() {
+		r.Header.Set(_headerPrint, strconv.FormatUint(e.digest(), 16))
+	}
 	if res.hint != (route.Hint{}) {
 		r.Header.Set(_headerHint, formatHint(res.hint))
 	}
--- a/node/backend.go
+++ b/node/backend.go
@@ -34,6 +34,7 @@
 
 // work is one request that an instance runs.
 type work struct {
+	print  uint64
 	since  time.Duration
 	stalls time.Duration // when it counts as a stall the next time
 }
--- a/node/course.go
+++ b/node/course.go
@@ -60,7 +60,7 @@
 
 // attempt makes one attempt and says what came of it.
 func (e *exchange) attempt(ctx context.Context, cmd trip.AttemptCmd) trip.Msg {
-	if cmd.Retry && (ctx.Err() != nil || !cmd.Free && !e.spend()) {
+	if cmd.Retry && (ctx.Err() != nil || e.crashes >= _mostCrashes || !cmd.Free && !e.spend()) {
 		e.server.log.Info("no retry", slog.String("request", e.id))
 		return trip.DeniedMsg{}
 	}
--- a/node/detect.go
+++ b/node/detect.go
@@ -42,14 +42,14 @@
 }
 
 // begin puts a started request on the instance's record.
-func (s *Server) begin(id string, ref ledger.Ref) (*http.Transport, string) {
+func (s *Server) begin(id string, ref ledger.Ref, mark uint64) (*http.Transport, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.backs[id]
 	if b == nil {
 		return nil, ""
 	}
-	b.running[ref] = &work{since: s.now(), stalls: s.now() + b.stall(0)}
+	b.running[ref] = &work{print: mark, since: s.now(), stalls: s.now() + b.stall(0)}
 	return b.transport, b.instance.Addr
 }
 
@@ -62,6 +62,9 @@
 		return
 	}
 	since := b.running[ref].since
+	if outcome == workDone {
+		s.aboard.Well(b.running[ref].print, s.now())
+	}
 	delete(b.running, ref)
 	if outcome == workCancelled {
 		return
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/damaskpitch/damaskpitch/retry"
 	"github.com/damaskpitch/damaskpitch/route"
@@ -17,6 +18,8 @@
 	mu       sync.RWMutex
 	table    *route.Table
 	services map[string]*service
+	banned   map[uint64]bool
+	held     map[uint64]time.Time // until the whole fleet's ban is in force
 }
 
 // service is one service as this ingress knows it.
@@ -29,7 +32,7 @@
 }
 
 func newFleet(center string) *fleet {
-	return &fleet{center: center, table: route.NewTable(nil), services: map[string]*service{}}
+	return &fleet{center: center, table: route.NewTable(nil), services: map[string]*service{}, held: map[uint64]time.Time{}}
 }
 
 // find returns the match of a request and its service.
@@ -44,6 +47,25 @@
 	return match, s, s != nil
 }
 
+// bans reports whether requests with the fingerprint are refused.
+func (f *fleet) bans(mark uint64) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.banned[mark] || time.Now().Before(f.held[mark])
+}
+
+// hold refuses requests with the fingerprint at this ingress for a while.
+func (f *fleet) hold(mark uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for old, until := range f.held {
+		if time.Now().After(until) {
+			delete(f.held, old)
+		}
+	}
+	f.held[mark] = time.Now().Add(_banHold)
+}
+
 // spec returns a service's declaration, or the defaults while there is none.
 func (f *fleet) spec(name string) spec.Service {
 	f.mu.RLock()
@@ -59,8 +81,13 @@
 // update follows the view in the given services, or in all of them.
 func (f *fleet) update(v *view.View, names []string, all bool) {
 	candidates := f.candidates(v, names, all)
+	banned := make(map[uint64]bool)
+	for _, mark := range v.Banned() {
+		banned[mark] = true
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.banned = banned
 	if all {
 		names = nil
 		for _, s := range v.Services() {
--- a/node/header.go
+++ b/node/header.go
@@ -37,6 +37,7 @@
 	_headerFate     = _prefix + "Fate"
 	_headerLoad     = _prefix + "Load"
 	_headerTook     = _prefix + "Took"
+	_headerPrint    = _prefix + "Print"
 	_headerSick     = _prefix + "Sick"
 )
 
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -42,6 +42,8 @@
 	claim    store.Claim
 	claimed  store.Claimed
 	tried    []view.Key
+	crashes  int
+	print    uint64
 }
 
 // serveCaller takes one request from a caller.
@@ -82,6 +84,11 @@
 	service.mu.Lock()
 	service.budget = service.budget.First()
 	service.mu.Unlock()
+	if e.replayable() && s.fleet.bans(e.digest()) {
+		s.log.Warn("refused", slog.String("request", e.id), slog.String("reason", _reasonBan))
+		refuse(w, http.StatusUnprocessableEntity, _reasonBan)
+		return
+	}
 	e.travel(ctx)
 }
 
--- a/node/keyed.go
+++ b/node/keyed.go
@@ -56,10 +56,14 @@
 
 // digest tells a resend from another request under the same key.
 func (e *exchange) digest() uint64 {
+	if e.print != 0 {
+		return e.print
+	}
 	d := xxhash.New()
-	_, _ = d.WriteString(e.r.Method + " " + e.r.URL.RequestURI() + "\n")
+	_, _ = d.WriteString(e.match.Service.Name + " " + e.r.Method + " " + e.r.URL.RequestURI() + "\n")
 	_, _ = d.Write(e.body)
-	return d.Sum64()
+	e.print = d.Sum64()
+	return e.print
 }
 
 // settleClaim puts the outcome on record; an answer goes on record before the
--- a/node/owner.go
+++ b/node/owner.go
@@ -174,7 +174,8 @@
 func (j *job) run(ctx context.Context) {
 	s := j.server
 	s.stats.started.Inc(1)
-	transport, addr := s.begin(j.id, j.ref)
+	mark, _ := strconv.ParseUint(j.r.Header.Get(_headerPrint), 16, 64)
+	transport, addr := s.begin(j.id, j.ref, mark)
 	defer func() { s.tell(gate.DoneMsg{ID: j.id, Ref: j.ref, At: s.now()}) }()
 	if transport == nil {
 		s.notRun(j.w, string(gate.NoInstance))
@@ -187,7 +188,12 @@
 	started := s.now()
 	response, err := transport.RoundTrip(j.request(traced, addr))
 	if err != nil {
-		s.end(j.id, j.ref, outcomeOf(ctx, err))
+		outcome := outcomeOf(ctx, err)
+		if connected.Load() && outcome == workFailed && s.crashed(ctx, addr) {
+			s.reportCrash(j.id)
+			err = errCrashed
+		}
+		s.end(j.id, j.ref, outcome)
 		j.unanswered(connected.Load(), err)
 		return
 	}
--- a/node/server.go
+++ b/node/server.go
@@ -15,6 +15,7 @@
 	"github.com/damaskpitch/damaskpitch/gate"
 	"github.com/damaskpitch/damaskpitch/ledger"
 	"github.com/damaskpitch/damaskpitch/meter"
+	"github.com/damaskpitch/damaskpitch/poison"
 	"github.com/damaskpitch/damaskpitch/proto"
 	"github.com/damaskpitch/damaskpitch/wire"
 )
@@ -57,6 +58,7 @@
 	waiting  map[ledger.Ref]chan gate.Cmd
 	backs    map[string]*backend
 	leader   string
+	aboard   *poison.Aboard
 	stopping atomic.Bool
 
 	inherited bool // from a predecessor that still runs
@@ -78,6 +80,7 @@
 		gate:    gate.New(gate.Config{}),
 		waiting: map[ledger.Ref]chan gate.Cmd{},
 		backs:   map[string]*backend{},
+		aboard:  poison.NewAboard(),
 	}
 	s.stats = newStats(s.meter.Scope)
 	s.epoch.Store(uint64(s.start.UnixMilli()))
--- a/store/command.go
+++ b/store/command.go
@@ -103,6 +103,13 @@
 	Answer  claim.Answer  `json:"answer"`
 }
 
+// Crash says that an instance crashed with requests in flight.
+type Crash struct {
+	Key    view.Key `json:"key"`
+	Epoch  uint64   `json:"epoch"`
+	Prints []uint64 `json:"prints"`
+}
+
 // Clock carries only its time, for leases that run out.
 type Clock struct{}
 
@@ -118,6 +125,7 @@
 func (Restore) command()     {}
 func (Claim) command()       {}
 func (Settle) command()      {}
+func (Crash) command()       {}
 func (Clock) command()       {}
 
 // Types lists the commands and results in the order of the format.
@@ -146,6 +154,7 @@
 		Refused{},
 		Claimed{},
 		Mismatched{},
+		Crash{},
 	}
 }
 
--- a/store/snapshot.go
+++ b/store/snapshot.go
@@ -7,18 +7,20 @@
 
 	"github.com/damaskpitch/damaskpitch/claim"
 	"github.com/damaskpitch/damaskpitch/floor"
+	"github.com/damaskpitch/damaskpitch/poison"
 	"github.com/damaskpitch/damaskpitch/view"
 	"github.com/damaskpitch/damaskpitch/wire"
 )
 
 // Snapshot is the whole state at one place in the log.
 type Snapshot struct {
-	Index    uint64                  `json:"index"`
-	At       time.Duration           `json:"at"`
-	View     view.Snapshot           `json:"view"`
-	Arbiters map[string]floor.Model  `json:"arbiters"`
-	Claims   map[string]claim.Record `json:"claims"`
-	Requests map[string]Kept         `json:"requests"`
+	Index    uint64                    `json:"index"`
+	At       time.Duration             `json:"at"`
+	View     view.Snapshot             `json:"view"`
+	Arbiters map[string]floor.Model    `json:"arbiters"`
+	Claims   map[string]claim.Record   `json:"claims"`
+	Requests map[string]Kept           `json:"requests"`
+	Suspects map[uint64]poison.Suspect `json:"suspects"`
 }
 
 // Save returns the whole state as bytes.
@@ -30,6 +32,7 @@
 		Arbiters: m.arbiters,
 		Claims:   m.claims.Records(),
 		Requests: m.requests,
+		Suspects: m.poison.Suspects(),
 	})
 	if err != nil {
 		return nil, errors.Errorf("save snapshot: %w", err)
@@ -59,6 +62,7 @@
 		}
 		m.arbiters[name] = arbiter
 	}
+	m.poison = poison.Restore(poison.Config{}, s.Suspects)
 	for request, kept := range s.Requests {
 		m.requests[request] = kept
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -5,6 +5,7 @@
 
 	"github.com/damaskpitch/damaskpitch/claim"
 	"github.com/damaskpitch/damaskpitch/floor"
+	"github.com/damaskpitch/damaskpitch/poison"
 	"github.com/damaskpitch/damaskpitch/view"
 )
 
@@ -32,6 +33,7 @@
 	view     *view.View
 	arbiters map[string]floor.Model
 	claims   claim.Model
+	poison   poison.Model
 	requests map[string]Kept
 	history  *view.History
 }
@@ -50,6 +52,7 @@
 		view:     view.New(),
 		arbiters: map[string]floor.Model{},
 		claims:   claim.New(claim.Config{Retention: cfg.Retention}),
+		poison:   poison.New(poison.Config{}),
 		requests: map[string]Kept{},
 		history:  view.NewHistory(0, cfg.History),
 	}
@@ -116,6 +119,8 @@
 		return m, m.eject(c)
 	case Restore:
 		return m, m.restore(c)
+	case Crash:
+		return m, m.crash(c)
 	case Claim:
 		return m.claim(c)
 	case Settle:
@@ -145,6 +150,7 @@
 
 func (m Model) expire() Model {
 	m.claims, _ = m.claims.Update(claim.ClockMsg{At: m.at})
+	m.ban(poison.ClockMsg{At: m.at})
 	for request, kept := range m.requests {
 		if kept.Until <= m.at {
 			delete(m.requests, request)
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,185 @@
+package store
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/spec"
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+// feed applies commands one after the other and returns the last result.
+func feed(m *Model, commands ...Command) Result {
+	var result Result
+	for _, c := range commands {
+		*m, result = m.Apply(Entry{Index: m.Index() + 1, At: m.At() + time.Millisecond, Command: c})
+	}
+	return result
+}
+
+func service(name string, floor int) spec.Service {
+	return spec.Service{
+		Name: name, Floor: floor, Patience: spec.Quick, Warmup: spec.Duration(time.Nanosecond), Routes: []spec.Route{{Path: "/"}},
+	}.WithDefaults()
+}
+
+func member(node string, epoch uint64) view.Member {
+	return view.Member{Node: node, Epoch: epoch, Center: "d", Addr: "127.0.0.1:1", Reach: view.Up}
+}
+
+func instance(id string) view.Instance {
+	return view.Instance{ID: id, Service: "s", Addr: "127.0.0.1:2"}
+}
+
+// TestResend gives an operator's resend the first result, also from a
+// snapshot.
+func TestResend(t *testing.T) {
+	m := New(Config{})
+	first := feed(&m, PutService{Request: "r", Match: 0, Service: service("s", 1)})
+	second := feed(&m, PutService{Request: "r", Match: 0, Service: service("s", 1)})
+	if first != second {
+		t.Errorf("results %v and %v", first, second)
+	}
+	data, err := m.Save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err = Load(Config{}, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if third := feed(&m, PutService{Request: "r", Match: 0, Service: service("s", 1)}); third != first {
+		t.Errorf("results %v and %v after a snapshot", first, third)
+	}
+	if other := feed(&m, PutService{Request: "q", Match: 0, Service: service("s", 1)}); other != (Conflict{Rev: 1}) {
+		t.Errorf("a stale write came to %v", other)
+	}
+}
+
+// TestWatch resumes from any revision without a gap or a repeat, and tells a
+// watcher that is too far behind to take a snapshot.
+func TestWatch(t *testing.T) {
+	m := New(Config{History: 10})
+	for n := range 100 {
+		feed(&m, PutService{Match: AnyRev, Service: service(fmt.Sprint("s", n%3), 0)})
+	}
+	if _, ok := m.Since(5); ok {
+		t.Error("a watcher far behind was not told")
+	}
+	for from := uint64(90); from <= 100; from++ {
+		events, ok := m.Since(from)
+		if !ok || len(events) != int(100-from) {
+			t.Fatalf("%d events from %d", len(events), from)
+		}
+		for n, e := range events {
+			if e.Rev != from+uint64(n)+1 {
+				t.Fatalf("event %d from %d has revision %d", n, from, e.Rev)
+			}
+		}
+	}
+}
+
+// TestFloorCounts counts leaving, cold and unreachable instances against the
+// floor, also after a snapshot.
+func TestFloorCounts(t *testing.T) {
+	cases := []struct {
+		name string
+		lose Command
+	}{
+		{"leaving", Announce{Node: "n1", Epoch: 1, Instance: instance("a").WithLeaving()}},
+		{"unreachable", Observe{Node: "n1", Epoch: 1, Reach: view.Unreachable}},
+		{"gone", Withdraw{Key: view.Key{Node: "n1", ID: "a"}, Epoch: 1}},
+		{"restarted", Enroll{Member: member("n1", 2)}},
+	}
+	for _, c := range cases {
+		m := New(Config{})
+		feed(&m, PutService{Match: AnyRev, Service: service("s", 2)})
+		for _, node := range []string{"n1", "n2", "n3"} {
+			feed(&m, Enroll{Member: member(node, 1), Instances: []view.Instance{instance("a")}})
+		}
+		feed(&m, c.lose)
+		data, err := m.Save()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m, err = Load(Config{}, data); err != nil {
+			t.Fatal(err)
+		}
+		ask := Eject{Key: view.Key{Node: "n2", ID: "a"}, Epoch: 1, TTL: time.Second}
+		feed(&m, ask)
+		m.at += time.Second
+		if result := feed(&m, ask); result != (Refused{Reason: "floor"}) {
+			t.Errorf("%s: the ejection came to %+v", c.name, result)
+		}
+	}
+}
+
+// TestStaleNode refuses what an earlier start of a node says.
+func TestStaleNode(t *testing.T) {
+	m := New(Config{})
+	feed(&m, Enroll{Member: member("n1", 2), Instances: []view.Instance{instance("a")}})
+	stale := []Command{
+		Enroll{Member: member("n1", 1)},
+		Announce{Node: "n1", Epoch: 1, Instance: instance("b")},
+		Withdraw{Key: view.Key{Node: "n1", ID: "a"}, Epoch: 1},
+		Eject{Key: view.Key{Node: "n1", ID: "a"}, Epoch: 1},
+		Remove{Node: "n1", Epoch: 1},
+	}
+	for _, c := range stale {
+		if result := feed(&m, c); result != (Stale{}) {
+			t.Errorf("%T came to %v", c, result)
+		}
+	}
+	if n := len(m.View().InstancesOf("n1")); n != 1 {
+		t.Errorf("%d instances", n)
+	}
+}
+
+// BenchmarkClaim is one claim in the state machine, with its codec.
+func BenchmarkClaim(b *testing.B) {
+	m := New(Config{})
+	b.ReportAllocs()
+	size := 0
+	for n := range b.N {
+		data, err := Codec.Encode(Entry{At: time.Duration(n), Command: Claim{
+			Key: fmt.Sprint("certifier/", n), Digest: uint64(n), Holder: "node-1.1796361706991.7", TTL: time.Minute,
+		}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(data)
+		msg, err := Codec.Decode(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		e, _ := msg.(Entry)
+		e.Index = uint64(n + 1)
+		m, _ = m.Apply(e)
+	}
+	b.ReportMetric(float64(size), "bytes/claim")
+}
+
+// BenchmarkSnapshot is the state of the planned size.
+func BenchmarkSnapshot(b *testing.B) {
+	m := New(Config{})
+	for n := range 2100 {
+		var list []view.Instance
+		for i := range 95 {
+			list = append(list, view.Instance{
+				ID: fmt.Sprintf("instance-%d-%d", n, i), Service: fmt.Sprintf("service-%d", (n*95+i)%3400), Addr: fmt.Sprintf("10.2.1.1:%d", 9000+i),
+			})
+		}
+		feed(&m, Enroll{Member: member(fmt.Sprint("node-", n), 1), Instances: list})
+	}
+	b.ReportAllocs()
+	size := 0
+	for b.Loop() {
+		data, err := m.Save()
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(data)
+	}
+	b.ReportMetric(float64(size)/199500, "bytes/instance")
+}
--- /dev/null
+++ b/tools/claims/main.go
@@ -0,0 +1,130 @@
+// Command claims measures how many idempotency claims a second a group of
+// control hosts takes and how long one takes.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/urfave/cli/v3"
+
+	"github.com/damaskpitch/damaskpitch/config"
+	"github.com/damaskpitch/damaskpitch/ctrl"
+	"github.com/damaskpitch/damaskpitch/proto"
+	"github.com/damaskpitch/damaskpitch/store"
+	"github.com/damaskpitch/damaskpitch/wire"
+)
+
+const (
+	_key       = "key-for-this-measurement"
+	_base      = 7700
+	_maxMicros = 60_000_000
+	_digits    = 3
+)
+
+func main() {
+	app := &cli.Command{
+		Name: "claims",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "hosts", Usage: "control hosts", Value: 3},
+			&cli.DurationFlag{Name: "for", Usage: "time of each load", Value: 5 * time.Second},
+		},
+		Action: measure,
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func measure(ctx context.Context, c *cli.Command) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	leader, err := start(ctx, c.Int("hosts"))
+	if err != nil {
+		return err
+	}
+	fmt.Println("| callers at a time | claims/s | p50 | p99 | failed |\n|---|---|---|---|---|")
+	for _, callers := range []int{1, 8, 64, 256} {
+		h, failed := load(ctx, leader, callers, c.Duration("for"))
+		fmt.Printf("| %d | %.0f | %v | %v | %d |\n", callers, float64(h.TotalCount())/c.Duration("for").Seconds(),
+			time.Duration(h.ValueAtQuantile(50))*time.Microsecond, time.Duration(h.ValueAtQuantile(99))*time.Microsecond, failed)
+	}
+	return nil
+}
+
+func addr(n int) string { return fmt.Sprintf("127.0.0.1:%d", _base+n) }
+
+// start runs the control hosts and returns the leader's address.
+func start(ctx context.Context, n int) (string, error) {
+	folder, err := os.MkdirTemp("", "damaskpitch-claims-")
+	if err != nil {
+		return "", fmt.Errorf("data folder: %w", err)
+	}
+	context.AfterFunc(ctx, func() { _ = os.RemoveAll(folder) })
+	var hosts []config.Host
+	for i := range n {
+		hosts = append(hosts, config.Host{Name: fmt.Sprintf("c%d", i+1), Addr: addr(2*i + 1)})
+	}
+	for i, h := range hosts {
+		s, err := ctrl.New(ctx, ctrl.Config{Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)), Settings: config.Control{
+			Name: h.Name, Center: "mida", Data: filepath.Join(folder, h.Name), API: addr(2 * i), Peer: h.Addr, Key: _key, Hosts: hosts,
+		}})
+		if err != nil {
+			return "", err
+		}
+		go func() { _ = s.Run(ctx) }()
+	}
+	client := wire.NewClient(_key, proto.Codec)
+	for range 300 {
+		for _, h := range hosts {
+			reply, err := client.Call(ctx, h.Addr, proto.Submit{Command: store.Clock{}})
+			if out, ok := reply.(proto.Outcome); err == nil && ok && out.Result != nil {
+				time.Sleep(2 * time.Second) // the others join
+				return h.Addr, nil
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return "", errors.New("no leader")
+}
+
+// load claims from so many callers at a time.
+func load(ctx context.Context, leader string, callers int, span time.Duration) (*hdrhistogram.Histogram, int) {
+	client := wire.NewClient(_key, proto.Codec)
+	h := hdrhistogram.New(1, _maxMicros, _digits)
+	failed := 0
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	end := time.Now().Add(span)
+	for caller := range callers {
+		wg.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				started := time.Now()
+				key := fmt.Sprintf("k-%d-%d-%d", callers, caller, n)
+				reply, err := client.Call(ctx, leader, proto.Submit{
+					Command: store.Claim{Key: key, Digest: 1, Holder: "n.1.1", TTL: time.Minute},
+				})
+				out, _ := reply.(proto.Outcome)
+				claimed, ok := out.Result.(store.Claimed)
+				mu.Lock()
+				if err != nil || !ok || !claimed.Granted {
+					failed++
+				} else {
+					_ = h.RecordValue(time.Since(started).Microseconds())
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return h, failed
+}
--- a/view/event.go
+++ b/view/event.go
@@ -59,6 +59,18 @@
 	Key Key `json:"key"`
 }
 
+// BanPut refuses requests with a fingerprint everywhere.
+type BanPut struct {
+	Print uint64 `json:"print"`
+}
+
+// BanGone lets requests with a fingerprint run again.
+type BanGone struct {
+	Print uint64 `json:"print"`
+}
+
+func (BanPut) change()       {}
+func (BanGone) change()      {}
 func (Founded) change()      {}
 func (ServicePut) change()   {}
 func (ServiceGone) change()  {}
@@ -81,5 +93,7 @@
 		EjectPut{},
 		EjectGone{},
 		Founded{},
+		BanPut{},
+		BanGone{},
 	}
 }
--- a/view/snapshot.go
+++ b/view/snapshot.go
@@ -9,6 +9,7 @@
 	Services []Versioned `json:"services"`
 	Hosts    []Host      `json:"hosts"`
 	Ejected  []Key       `json:"ejected"`
+	Banned   []uint64    `json:"banned"`
 }
 
 // Host is a member with its instances.
@@ -19,7 +20,7 @@
 
 // Snapshot returns the whole view.
 func (v *View) Snapshot() Snapshot {
-	s := Snapshot{Rev: v.Rev, Cluster: v.Cluster, Services: v.Services(), Ejected: v.EjectedKeys()}
+	s := Snapshot{Rev: v.Rev, Cluster: v.Cluster, Services: v.Services(), Ejected: v.EjectedKeys(), Banned: v.Banned()}
 	for _, m := range v.Members() {
 		s.Hosts = append(s.Hosts, Host{Member: m, Instances: v.InstancesOf(m.Node)})
 	}
@@ -41,6 +42,9 @@
 	for _, k := range s.Ejected {
 		v.ejected[k] = true
 	}
+	for _, mark := range s.Banned {
+		v.banned[mark] = true
+	}
 	v.Rev = s.Rev
 	v.Cluster = s.Cluster
 	return v
--- a/view/view.go
+++ b/view/view.go
@@ -15,6 +15,7 @@
 	members   map[string]Member
 	instances map[string]map[string]Instance
 	ejected   map[Key]bool
+	banned    map[uint64]bool
 }
 
 // Versioned is a service with the revision that wrote it last.
@@ -30,6 +31,7 @@
 		members:   map[string]Member{},
 		instances: map[string]map[string]Instance{},
 		ejected:   map[Key]bool{},
+		banned:    map[uint64]bool{},
 	}
 }
 
@@ -39,6 +41,10 @@
 	switch c := e.Change.(type) {
 	case Founded:
 		v.Cluster = c.Cluster
+	case BanPut:
+		v.banned[c.Print] = true
+	case BanGone:
+		delete(v.banned, c.Print)
 	case ServicePut:
 		v.services[c.Service.Name] = Versioned{Service: c.Service, Rev: e.Rev}
 		return []string{c.Service.Name}
@@ -116,6 +122,11 @@
 	return v.ejected[k]
 }
 
+// Banned returns the fingerprints that are refused, in order.
+func (v *View) Banned() []uint64 {
+	return slices.Sorted(maps.Keys(v.banned))
+}
+
 // EjectedKeys returns every instance that is out of service, by name.
 func (v *View) EjectedKeys() []Key {
 	return slices.SortedFunc(maps.Keys(v.ejected), compareKeys)
