Keep a node within its memory and time at the planned size; prove members and views

Cause: following one restarted instance scanned the whole directory, and the routing state of the planned size took 108 MB live in a node of 128 MB. A node collects at half as much garbage. The ledger remembers for 20 s instead of 2 min, as an older attempt is refused all the same.

--- a/cmd/damaskpitch/daemons.go
+++ b/cmd/damaskpitch/daemons.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
 
@@ -12,6 +13,10 @@
 	"github.com/damaskpitch/damaskpitch/node"
 )
 
+// _nodeGarbage is the share of garbage, in percent of the live memory, that a
+// node lets grow: its memory is bounded more tightly than its time.
+const _nodeGarbage = 50
+
 func settingsFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "config", Usage: "read the settings from `FILE`", Required: true},
@@ -66,6 +71,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(_nodeGarbage)
 	return node.New(node.Config{Settings: settings, Logger: logger}).Run(ctx)
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-const _defaultRetention = 2 * time.Minute
+const _defaultRetention = 20 * time.Second
 
 // State is what the ledger knows of an attempt.
 type State string
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -80,7 +80,6 @@
 
 // update follows the view in the given services, or in all of them.
 func (f *fleet) update(v *view.View, names []string, all bool) {
-	candidates := f.candidates(v, names, all)
 	banned := make(map[uint64]bool)
 	for _, mark := range v.Banned() {
 		banned[mark] = true
@@ -101,7 +100,7 @@
 	}
 	routes := all
 	for _, name := range names {
-		routes = f.updateService(v, name, candidates[name]) || routes
+		routes = f.updateService(v, name, candidates(v, name)) || routes
 	}
 	if routes {
 		f.rebuild(v)
@@ -138,29 +137,25 @@
 	f.table = route.NewTable(list)
 }
 
-// candidates lists the instances of the touched services in one pass.
-func (f *fleet) candidates(v *view.View, names []string, all bool) map[string][]route.Candidate {
-	wanted := make(map[string]bool, len(names))
-	for _, name := range names {
-		wanted[name] = true
-	}
-	lists := map[string][]route.Candidate{}
-	for _, m := range v.Members() {
-		for _, i := range v.InstancesOf(m.Node) {
-			if !all && !wanted[i.Service] {
-				continue
-			}
-			key := view.Key{Node: m.Node, ID: i.ID}
-			lists[i.Service] = append(lists[i.Service], route.Candidate{
-				Key:    key,
-				Center: m.Center,
-				Addr:   m.Addr,
-				Epoch:  m.Epoch,
-				Out:    i.Leaving || m.Reach == view.Unreachable || v.Ejected(key),
-			})
+// candidates lists the instances of a service.
+func candidates(v *view.View, service string) []route.Candidate {
+	keys := v.KeysOf(service)
+	list := make([]route.Candidate, 0, len(keys))
+	for _, key := range keys {
+		i, _ := v.Instance(key)
+		m, ok := v.Member(key.Node)
+		if !ok {
+			continue
 		}
+		list = append(list, route.Candidate{
+			Key:    key,
+			Center: m.Center,
+			Addr:   m.Addr,
+			Epoch:  m.Epoch,
+			Out:    i.Leaving || m.Reach == view.Unreachable || v.Ejected(key),
+		})
 	}
-	return lists
+	return list
 }
 
 func sameRoutes(a, b spec.Service) bool {
--- /dev/null
+++ b/node/fleet_test.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/damaskpitch/damaskpitch/spec"
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+// planned is a view of so many members with 95 instances each, and 3,400
+// services with 48,000 routes.
+func planned(members int) *view.View {
+	v := view.New()
+	for n := range 3400 {
+		s := spec.Service{Name: fmt.Sprint("s", n), Floor: 40, Slots: 4}
+		for i := range 14 {
+			s.Routes = append(s.Routes, spec.Route{Host: fmt.Sprintf("host-%d.example", n%60), Path: fmt.Sprintf("/area-%d/part-%d", n, i)})
+		}
+		v.Apply(view.Event{Rev: 1, Change: view.ServicePut{Service: s}})
+	}
+	for n := range members {
+		node := fmt.Sprint("node-", n)
+		v.Apply(view.Event{Rev: 1, Change: view.MemberPut{Member: view.Member{Node: node, Epoch: 1, Center: fmt.Sprint("d", n%11), Addr: "10.1.1.1:7000"}}})
+		for i := range 95 {
+			v.Apply(view.Event{Rev: 1, Change: view.InstancePut{Node: node, Instance: view.Instance{
+				ID: fmt.Sprintf("i-%d-%d", n, i), Service: fmt.Sprint("s", (n*95+i)%3400), Addr: fmt.Sprintf("10.2.1.1:%d", 9000+i),
+			}}})
+		}
+	}
+	return v
+}
+
+// TestUpdateCost keeps the cost of one restarted instance independent of the
+// fleet's size, but for the instances of its own service.
+func TestUpdateCost(t *testing.T) {
+	allocs := map[int]float64{}
+	for _, members := range []int{72, 720} {
+		v := planned(members)
+		f := newFleet("d1")
+		f.update(v, nil, true)
+		allocs[members] = testing.AllocsPerRun(50, func() { f.update(v, []string{"s7"}, false) })
+	}
+	t.Logf("allocations: %v", allocs)
+	if allocs[720] > 3*allocs[72]+10 {
+		t.Errorf("allocations grow with the fleet: %v", allocs)
+	}
+}
+
+// TestNodeMemory keeps the view and the routing state of the planned size so
+// small that a node stays within 128 MB when garbage makes up half as much
+// again and the rest takes 12 MB.
+func TestNodeMemory(t *testing.T) {
+	const limit = 128<<20*2/3 - 12<<20
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	v := planned(2100)
+	f := newFleet("d1")
+	f.update(v, nil, true)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	used := after.HeapAlloc - before.HeapAlloc
+	t.Logf("%d bytes", used)
+	if used > limit {
+		t.Errorf("%d bytes, limit %d", used, limit)
+	}
+	runtime.KeepAlive(v)
+	runtime.KeepAlive(f)
+}
+
+// BenchmarkUpdate follows one restarted instance at the planned size.
+func BenchmarkUpdate(b *testing.B) {
+	v := planned(2100)
+	f := newFleet("d1")
+	f.update(v, nil, true)
+	b.ReportAllocs()
+	for b.Loop() {
+		f.update(v, []string{"s7"}, false)
+	}
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -26,8 +26,6 @@
 	Once bool
 	// Replayable says that the request's body can be sent again.
 	Replayable bool
-	// Answered says that bytes of an answer went to the caller.
-	Answered bool
 	// Tries is the number of attempts so far.
 	Tries int
 	// Left is the time until the deadline.
@@ -43,8 +41,6 @@
 // Decide says whether another attempt may follow.
 func Decide(a Attempt) Verdict {
 	switch {
-	case a.Answered:
-		return Verdict{Reason: "answer begun"}
 	case a.Fate == Ran:
 		return Verdict{Reason: "answered"}
 	case a.Fate == Unknown && a.Once:
--- a/route/load.go
+++ b/route/load.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -66,17 +67,16 @@
 
 // Keep drops what is known of instances that are not in the pool.
 func (b *Book) Keep(p Pool) {
-	loads := make(map[view.Key]Load, len(p.Candidates))
+	if len(b.loads) == 0 {
+		return
+	}
+	in := make(map[view.Key]bool, len(p.Candidates))
 	for _, c := range p.Candidates {
-		if l, ok := b.loads[c.Key]; ok {
-			loads[c.Key] = l
-		}
+		in[c.Key] = true
 	}
-	b.loads = loads
-	b.suspects = slices.DeleteFunc(b.suspects, func(k view.Key) bool {
-		_, ok := loads[k]
-		return !ok
-	})
+	gone := func(k view.Key) bool { return !in[k] }
+	maps.DeleteFunc(b.loads, func(k view.Key, _ Load) bool { return gone(k) })
+	b.suspects = slices.DeleteFunc(b.suspects, gone)
 }
 
 // WithTook returns the load with one more measured time.
--- a/route/pool.go
+++ b/route/pool.go
@@ -28,7 +28,8 @@
 
 // NewPool returns the pool of a service as a node in the data centre sees it.
 func NewPool(service view.Versioned, center string, list []Candidate) Pool {
-	p := Pool{Spare: -service.Service.Floor, Slots: service.Service.Slots}
+	// Sized once: a pool lives long and there are many.
+	p := Pool{Candidates: make([]Candidate, 0, len(list)), Spare: -service.Service.Floor, Slots: service.Service.Slots}
 	for _, c := range list {
 		if !c.Out {
 			p.Spare++
--- a/trials/control_test.go
+++ b/trials/control_test.go
@@ -264,3 +264,43 @@
 		t.Error("the isolated host leads")
 	}
 }
+
+// TestPlannedControlStop stops the leader in the middle of writes: none is cut
+// and none is left unknown.
+func TestPlannedControlStop(t *testing.T) {
+	f := formed(t, 3, 1)
+	f.put(0, lookup(), "first")
+	old := f.leader(0)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for n := range 3 {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				status, body, err := f.write(n, lookup().WithFloor(i%2), "*", fmt.Sprint("w-", n, "-", i))
+				refused := errors.Is(err, syscall.ECONNREFUSED) || status == http.StatusServiceUnavailable
+				if n == old && refused {
+					return
+				}
+				if (err != nil || status != http.StatusOK) && !refused {
+					t.Errorf("host %d, write %d: status %d: %s, %v", n, i, status, body, err)
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	p := f.procs[f.controls[old].Name]
+	f.stop(p.Process)
+	if err := p.Wait(); err != nil {
+		t.Errorf("did not stop cleanly: %v", err)
+	}
+	delete(f.procs, f.controls[old].Name)
+	time.Sleep(300 * time.Millisecond)
+	close(stop)
+	wg.Wait()
+	f.put((old+1)%3, lookup(), "last")
+}
--- a/view/view.go
+++ b/view/view.go
@@ -14,6 +14,7 @@
 	services  map[string]Versioned
 	members   map[string]Member
 	instances map[string]map[string]Instance
+	ofService map[string][]Key
 	ejected   map[Key]bool
 	banned    map[uint64]bool
 }
@@ -30,6 +31,7 @@
 		services:  map[string]Versioned{},
 		members:   map[string]Member{},
 		instances: map[string]map[string]Instance{},
+		ofService: map[string][]Key{},
 		ejected:   map[Key]bool{},
 		banned:    map[uint64]bool{},
 	}
@@ -117,6 +119,11 @@
 	return list
 }
 
+// KeysOf returns the instances of a service; the caller must not change it.
+func (v *View) KeysOf(service string) []Key {
+	return v.ofService[service]
+}
+
 // Ejected reports whether the instance is out of service.
 func (v *View) Ejected(k Key) bool {
 	return v.ejected[k]
@@ -151,7 +158,9 @@
 
 func (v *View) dropInstances(node string) {
 	for id := range v.instances[node] {
-		delete(v.ejected, Key{Node: node, ID: id})
+		k := Key{Node: node, ID: id}
+		v.unindex(k)
+		delete(v.ejected, k)
 	}
 	delete(v.instances, node)
 }
@@ -163,8 +172,16 @@
 		v.instances[c.Node] = list
 	}
 	touched := []string{c.Instance.Service}
-	if old, ok := list[c.Instance.ID]; ok && old.Service != c.Instance.Service {
+	k := Key{Node: c.Node, ID: c.Instance.ID}
+	old, known := list[c.Instance.ID]
+	if known && old.Service != c.Instance.Service {
 		touched = append(touched, old.Service)
+		v.unindex(k)
+		known = false
+	}
+	c.Instance.Service = v.intern(c.Instance.Service)
+	if !known {
+		v.ofService[c.Instance.Service] = append(v.ofService[c.Instance.Service], k)
 	}
 	list[c.Instance.ID] = c.Instance
 	return touched
@@ -172,11 +189,35 @@
 
 func (v *View) dropInstance(k Key) []string {
 	touched := v.serviceOf(k)
+	v.unindex(k)
 	delete(v.instances[k.Node], k.ID)
 	delete(v.ejected, k)
 	return touched
 }
 
+// intern returns the string that the service's other instances share.
+func (v *View) intern(service string) string {
+	if keys := v.ofService[service]; len(keys) > 0 {
+		return v.instances[keys[0].Node][keys[0].ID].Service
+	}
+	return service
+}
+
+// unindex takes an instance off its service's list.
+func (v *View) unindex(k Key) {
+	i, ok := v.Instance(k)
+	if !ok {
+		return
+	}
+	list := v.ofService[i.Service]
+	at := slices.Index(list, k)
+	list[at] = list[len(list)-1]
+	v.ofService[i.Service] = list[:len(list)-1]
+	if len(list) == 1 {
+		delete(v.ofService, i.Service)
+	}
+}
+
 func (v *View) serviceOf(k Key) []string {
 	i, ok := v.instances[k.Node][k.ID]
 	if !ok {
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,52 @@
+package wire
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// ping is a message for these tests.
+type ping struct {
+	Node string `json:"node"`
+	Rev  uint64 `json:"rev"`
+}
+
+func echo(_ context.Context, msg any) (any, error) { return msg, nil }
+
+// BenchmarkCall is one small message and its answer over loopback, both sides.
+func BenchmarkCall(b *testing.B) {
+	codec := NewCodec(ping{})
+	server := httptest.NewServer(Serve("a-key-of-sixteen-bytes", codec, echo))
+	defer server.Close()
+	client := NewClient("a-key-of-sixteen-bytes", codec)
+	defer client.Forget()
+	addr := strings.TrimPrefix(server.URL, "http://")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := client.Call(b.Context(), addr, ping{Node: "node-1", Rev: 7}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// TestVersion refuses frames of another version and bytes that are no message.
+func TestVersion(t *testing.T) {
+	codec := NewCodec(ping{})
+	frame, err := codec.Frame(ping{Node: "n"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	frame.Version++
+	if _, err := codec.Open(frame); err == nil {
+		t.Error("a frame of another version was read")
+	}
+	for _, data := range [][]byte{nil, {0xff}, {0xd9, 0xea, 0x60}, []byte("text")} {
+		if msg, err := codec.Decode(data); err == nil {
+			if _, ok := msg.(ping); ok {
+				t.Errorf("%x was read as %v", data, msg)
+			}
+		}
+	}
+}
