Keep the leader under load; never let governing hold up the replica

Each heartbeat sent every outstanding entry again, and each proposal sent more without bound; the replica's loop waited to report a change of leadership to a loop that waited for the replica.

Change: at most 1,024 entries are on their way to a follower; a heartbeat sends again only what brought no progress; the report never blocks; the leader's commands have a time limit. Ruled out: the disk (one claim takes 0.7 ms with its three syncs).

--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -180,7 +180,7 @@
 		r.base = r.state.At()
 	}
 	if leading != was && r.cfg.Lead != nil {
-		r.cfg.Lead(leading)
+		r.cfg.Lead()
 	}
 	r.cfg.Logger.Info("leader",
 		slog.Uint64("group", uint64(r.cfg.Group)),
--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -34,7 +34,7 @@
 	Group  uint32
 	Disk   *disk.Disk
 	Send   func(to raft.Peer, letter raft.Letter)
-	Lead   func(leading bool)
+	Lead   func()
 	Logger *slog.Logger
 	Store  store.Config
 	Raft   raft.Config
--- a/ctrl/rpc.go
+++ b/ctrl/rpc.go
@@ -128,6 +128,8 @@
 	if !s.leading() {
 		return proto.Outcome{Leader: s.leaderAddr(), Error: ErrNoLeader.Error(), None: true}
 	}
+	ctx, cancel := context.WithTimeout(ctx, _apiTimeout)
+	defer cancel()
 	result, err := s.replica.Submit(ctx, c)
 	if err != nil {
 		return proto.Outcome{Error: err.Error(), None: withoutEffect(err)}
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -49,7 +49,7 @@
 	meter    meter.Meter
 	roll     *roll
 	ctx      context.Context //nolint:containedctx // ends with the process
-	leads    chan bool
+	leads    chan struct{}
 }
 
 // New opens the data folder and returns the daemon.
@@ -65,7 +65,7 @@
 		client: wire.NewClient(cfg.Settings.Key, proto.Codec),
 		meter:  meter.New("control"),
 		ctx:    ctx,
-		leads:  make(chan bool, 16),
+		leads:  make(chan struct{}, 1),
 	}
 	// Replication goes on until the replica has handed over.
 	postCtx, stopPost := context.WithCancel(context.WithoutCancel(ctx))
@@ -77,7 +77,7 @@
 		Group:  _fleet,
 		Disk:   d,
 		Send:   func(to raft.Peer, letter raft.Letter) { s.post.send(s.addrOf(to), letter) },
-		Lead:   func(leading bool) { s.leads <- leading },
+		Lead:   s.signalLead,
 		Logger: s.log,
 		Store:  cfg.Store,
 		Raft:   cfg.Raft,
@@ -151,19 +151,36 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case leading := <-s.leads:
-			s.roll.reset(leading)
+		case <-s.leads:
+			s.roll.reset(s.leading())
 		case <-ticker.C:
 			if !s.leading() {
 				continue
 			}
-			s.identify(ctx)
-			_, _ = s.replica.Submit(ctx, store.Clock{})
-			s.roll.check(ctx)
+			s.rule(ctx)
 		}
 	}
 }
 
+// rule does one turn of the leader's work; a turn that cannot finish is cut
+// short, since leadership may have gone.
+func (s *Server) rule(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, _apiTimeout)
+	defer cancel()
+	s.identify(ctx)
+	_, _ = s.replica.Submit(ctx, store.Clock{})
+	s.roll.check(ctx)
+}
+
+// signalLead tells the governing loop that leadership changed; it must never
+// hold up the replica.
+func (s *Server) signalLead() {
+	select {
+	case s.leads <- struct{}{}:
+	default:
+	}
+}
+
 // serve runs one listener until the context ends, and then finishes what is
 // in flight.
 func (s *Server) serve(ctx context.Context, addr string, h http.Handler) error {
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -10,6 +10,7 @@
 	_defaultElection  = 500 * time.Millisecond
 	_defaultHeartbeat = 100 * time.Millisecond
 	_maxEntries       = 256
+	_window           = 1024 // entries on their way to one follower
 )
 
 // Role is what a replica does at the moment.
@@ -64,6 +65,7 @@
 	round  uint64
 	seen   time.Duration
 	loaded time.Duration // when a snapshot was last sent
+	beaten uint64        // match at the last heartbeat
 }
 
 type read struct {
--- a/raft/read.go
+++ b/raft/read.go
@@ -5,7 +5,7 @@
 	if m.role != Leader || m.moving() || m.commit < m.opened {
 		return []Cmd{RefusedCmd(msg)}
 	}
-	cmds := m.broadcast()
+	cmds := m.broadcast(true)
 	m.reads = append(m.reads, read{id: msg.ID, round: m.round, index: m.commit})
 	return append(cmds, m.answerReads()...)
 }
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -16,9 +16,9 @@
 	cmds := m.reshape()
 	m.beat = m.at + m.cfg.Heartbeat
 	for _, f := range m.followers {
-		f.next = f.match + 1
+		f.rewind()
 	}
-	return append(cmds, m.broadcast()...)
+	return append(cmds, m.broadcast(true)...)
 }
 
 func (m *Model) propose(msg ProposeMsg) []Cmd {
@@ -46,16 +46,17 @@
 	}
 	m.log.append(entries)
 	cmds := []Cmd{m.save(entries)}
-	cmds = append(cmds, m.broadcast()...)
+	cmds = append(cmds, m.broadcast(false)...)
 	return append(cmds, m.commitUp()...)
 }
 
-func (m *Model) broadcast() []Cmd {
+// broadcast starts a round; a beat reaches every follower.
+func (m *Model) broadcast(beat bool) []Cmd {
 	m.round++
 	var cmds []Cmd
 	for _, p := range m.peers {
 		if p.ID != m.cfg.ID {
-			cmds = append(cmds, m.replicate(p, true)...)
+			cmds = append(cmds, m.replicate(p, beat)...)
 		}
 	}
 	return cmds
@@ -70,6 +71,9 @@
 	if !held {
 		return m.install(p, f, beat)
 	}
+	if !beat && f.next > f.match+_window {
+		return nil
+	}
 	entries := m.log.slice(f.next, _maxEntries)
 	f.next += uint64(len(entries))
 	return []Cmd{SendCmd{To: p, Body: Append{
@@ -169,6 +173,14 @@
 	return cmds
 }
 
+// rewind sends again what brought no progress since the last heartbeat.
+func (f *follower) rewind() {
+	if f.match == f.beaten {
+		f.next = f.match + 1
+	}
+	f.beaten = f.match
+}
+
 func (m *Model) peer(id uint64) Peer {
 	i := slices.IndexFunc(m.peers, func(p Peer) bool { return p.ID == id })
 	if i < 0 {
--- a/tools/claims/main.go
+++ b/tools/claims/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -105,16 +106,21 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	end := time.Now().Add(span)
+	var target atomic.Value
+	target.Store(leader)
 	for caller := range callers {
 		wg.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
 				started := time.Now()
 				key := fmt.Sprintf("k-%d-%d-%d", callers, caller, n)
-				reply, err := client.Call(ctx, leader, proto.Submit{
+				reply, err := client.Call(ctx, target.Load().(string), proto.Submit{
 					Command: store.Claim{Key: key, Digest: 1, Holder: "n.1.1", TTL: time.Minute},
 				})
 				out, _ := reply.(proto.Outcome)
 				claimed, ok := out.Result.(store.Claimed)
+				if out.Leader != "" {
+					target.Store(out.Leader)
+				}
 				mu.Lock()
 				if err != nil || !ok || !claimed.Granted {
 					failed++
