--- a/config/config.go
+++ b/config/config.go
@@ -90,7 +90,7 @@
 func parse(file string, data []byte, into any) error {
 	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.Validator(newValidator()))
 	if err := decoder.Decode(into); err != nil {
-		return errors.Errorf("%s: %w", file, err)
+		return errors.Mark(errors.Errorf("%s: %w", file, err), spec.ErrInvalid)
 	}
 	return nil
 }
--- a/ctrl/rpc.go
+++ b/ctrl/rpc.go
@@ -83,7 +83,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, errors.Errorf("%w: %w", ErrUnavailable, err)
+			return nil, errors.Mark(err, ErrUnavailable)
 		case <-time.After(_tick):
 		}
 	}
--- a/disk/record.go
+++ b/disk/record.go
@@ -70,7 +70,7 @@
 	}
 	msg, err := _codec.Decode(data[_sumSize:])
 	if err != nil {
-		return nil, errors.Errorf("record: %w: %w", ErrCorrupt, err)
+		return nil, errors.Mark(errors.Errorf("record: %w", err), ErrCorrupt)
 	}
 	v, ok := msg.(T)
 	if !ok {
--- a/study/ill.go
+++ b/study/ill.go
@@ -95,7 +95,3 @@
 	}
 	return 1
 }
-
-// Outage fails half of all requests of the whole service now and then; nothing
-// is wrong with any one instance.
-func Outage() Ill { return Ill{Name: "shared outage", Failing: 0.5} }
--- a/tools/curves/main.go
+++ b/tools/curves/main.go
@@ -33,6 +33,7 @@
 	app := &cli.Command{
 		Name: "curves",
 		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "patience", Usage: "measure `SETTING`; may be repeated", Value: []string{"quick", "sure"}},
 			&cli.IntFlag{Name: "seeds", Usage: "runs for each detection time", Value: 1000},
 			&cli.IntFlag{Name: "hours", Usage: "instance hours of each noise", Value: 10000},
 			&cli.IntFlag{Name: "curve", Usage: "instance hours for each point of the curve", Value: 1000},
@@ -51,14 +52,18 @@
 		study.Crash(), study.Errors(0.5), study.Hang(), study.Slow(3), study.Slow(10), study.Flap(10 * time.Second),
 	}
 	fmt.Println("| patience | illness | p50 | p99 |\n|---|---|---|---|")
-	for _, patience := range []spec.Patience{spec.Quick, spec.Sure} {
+	var settings []spec.Patience
+	for _, s := range c.StringSlice("patience") {
+		settings = append(settings, spec.Patience(s))
+	}
+	for _, patience := range settings {
 		for _, ill := range ills {
 			p50, p99 := detect(study.Config{Patience: patience, Ill: ill}, c.Int("seeds"))
 			fmt.Printf("| %s | %s %.1f %.0fx | %v | %v |\n", patience, ill.Name, ill.Failing, ill.Slower, p50, p99)
 		}
 	}
 	fmt.Println("\n| patience | noise | instance hours | false ejections |\n|---|---|---|---|")
-	for _, patience := range []spec.Patience{spec.Quick, spec.Sure} {
+	for _, patience := range settings {
 		for _, noise := range []study.Noise{study.Calm(), study.Spikes(), study.Colds()} {
 			n := falses(study.Config{Patience: patience, Noise: noise}, c.Int("hours"))
 			fmt.Printf("| %s | %s | %d | %d |\n", patience, noise.Name, c.Int("hours"), n)
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -68,7 +68,7 @@
 func (c Codec) Decode(data []byte) (any, error) {
 	var msg any
 	if err := c.dec.Unmarshal(data, &msg); err != nil {
-		return nil, errors.Errorf("decode: %w: %w", ErrDecode, err)
+		return nil, errors.Mark(errors.Errorf("decode: %w", err), ErrDecode)
 	}
 	if checker, ok := msg.(Checker); ok {
 		if err := checker.Check(); err != nil {
--- a/wire/guard.go
+++ b/wire/guard.go
@@ -86,7 +86,7 @@
 	reply, err := NewPeerProtobufClient("http://"+addr, by).Send(ctx, frame)
 	var network *net.OpError
 	if errors.As(err, &network) && network.Op == "dial" {
-		return nil, errors.Errorf("call %s: %w: %w", addr, ErrUnsent, err)
+		return nil, errors.Mark(errors.Errorf("call %s: %w", addr, err), ErrUnsent)
 	}
 	if err != nil {
 		return nil, errors.Errorf("call %s: %w", addr, err)
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -5,6 +5,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/cockroachdb/errors"
 )
 
 // ping is a message for these tests.
@@ -50,3 +52,16 @@
 		}
 	}
 }
+
+// TestUnsent tells a message that never left from one that may have arrived.
+func TestUnsent(t *testing.T) {
+	client := NewClient("a-key-of-sixteen-bytes", NewCodec(ping{}))
+	_, err := client.Call(t.Context(), "127.0.0.1:1", ping{})
+	if !errors.Is(err, ErrUnsent) {
+		t.Errorf("a refused connection: %v", err)
+	}
+	_, err = NewCodec(ping{}).Decode([]byte("text"))
+	if !errors.Is(err, ErrDecode) || strings.Contains(err.Error(), "%!") {
+		t.Errorf("malformed bytes: %v", err)
+	}
+}
