--- a/node/silence.go
+++ b/node/silence.go
@@ -27,11 +27,13 @@
 // stays without an answer.
 func (e *exchange) watchSilence(ctx context.Context, res *result) *silence {
 	w := &silence{}
+	// The request's own loop may move the model on while an answer is awaited.
+	model := e.trip
 	patience := max(_silentLeast, _silentFactor*res.choice.Load.Took)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(patience, func() {
-		if ctx.Err() == nil && e.quiet(ctx, res, w) {
+		if ctx.Err() == nil && e.quiet(ctx, model, res, w) {
 			w.again(patience)
 		}
 	})
@@ -39,12 +41,12 @@
 }
 
 // quiet takes the owner's word and reports whether to go on waiting.
-func (e *exchange) quiet(ctx context.Context, res *result, w *silence) bool {
+func (e *exchange) quiet(ctx context.Context, model trip.Model, res *result, w *silence) bool {
 	state, reached := e.server.inquire(ctx, res, false)
 	if reached && state == ledger.Finished && w.answered(ctx) {
 		return false
 	}
-	_, cmds := e.trip.Update(trip.QuietMsg{Reached: reached, State: state})
+	_, cmds := model.Update(trip.QuietMsg{Reached: reached, State: state})
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
 		case trip.WaitCmd:
--- a/trials/fleet_test.go
+++ b/trials/fleet_test.go
@@ -36,7 +36,11 @@
 		panic(err)
 	}
 	_binary = filepath.Join(folder, "damaskpitch")
-	build := exec.Command("go", "build", "-o", _binary, "../cmd/damaskpitch")
+	args := []string{"build", "-o", _binary}
+	if os.Getenv("TRIALS_RACE") != "" {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "../cmd/damaskpitch")...)
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
@@ -127,12 +131,15 @@
 	for name := range f.procs {
 		f.kill(name)
 	}
-	if !f.t.Failed() {
-		return
-	}
 	files, _ := filepath.Glob(filepath.Join(f.folder, "*.log"))
 	for _, file := range files {
 		data, _ := os.ReadFile(file)
+		if at := bytes.Index(data, []byte("DATA RACE")); at >= 0 {
+			f.t.Errorf("%s: %s", filepath.Base(file), data[at:min(len(data), at+3000)])
+		}
+		if !f.t.Failed() {
+			continue
+		}
 		f.t.Logf("%s:\n%s", filepath.Base(file), data[max(0, len(data)-4000):])
 	}
 }
