--- a/trials/input_test.go
+++ b/trials/input_test.go
@@ -133,3 +133,47 @@
 		}
 	}
 }
+
+// TestSlowHeader closes a connection whose headers do not come.
+func TestSlowHeader(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.startAll()
+	f.put(0, lookup(), "first")
+	f.eventually("first refusal", func() error {
+		_, err := raw(f.nodes[0].Caller, "GET /none HTTP/1.1\r\nHost: x\r\n\r\n")
+		return err
+	})
+	c, err := net.Dial("tcp", f.nodes[0].Caller)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, "GET /check HTTP/1.1\r\nHost: x\r\nSlow")
+	_ = c.SetDeadline(time.Now().Add(_patient))
+	if _, err := io.ReadAll(c); err != nil {
+		t.Errorf("the connection stays open: %v", err)
+	}
+}
+
+// TestHalfClosed answers a caller that has closed its sending side.
+func TestHalfClosed(t *testing.T) {
+	f, _, _ := ready(t)
+	c, err := net.Dial("tcp", f.nodes[0].Caller)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, "GET /none HTTP/1.1\r\nHost: x\r\n\r\n")
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusNotFound {
+		t.Errorf("status %d", response.StatusCode)
+	}
+}
