--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -38,7 +38,7 @@
 			if rapid.Bool().Draw(t, "current") {
 				source = now
 			}
-			d := delta(source, uint64(rapid.IntRange(0, int(m.View().Rev)).Draw(t, "from")))
+			d := delta(source, uint64(rapid.IntRange(0, int(now.View().Rev)).Draw(t, "from")))
 			if rapid.IntRange(0, 9).Draw(t, "foreign") == 0 {
 				d.Cluster = 2
 				d.Rev += 100
