Delete only the log entries that are really replaced

Cause: at 64 and 256 claims at a time the leader was lost. Each append carried the deletion of the range from its first entry to the group's end; these ranges overlap, and the storage library's work on them when it flushes grows with the square of their number. A leader that stands still for that long is replaced.

Change: an append deletes a range only when it replaces entries.

--- a/disk/disk.go
+++ b/disk/disk.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2"
@@ -27,9 +28,12 @@
 
 // Disk is one open data folder.
 type Disk struct {
-	db   *pebble.DB
+	db *pebble.DB
+	id uint64
+
+	mu   sync.Mutex
 	mark *mark
-	id   uint64
+	last map[uint32]uint64 // index of each group's last entry, once it is known
 }
 
 // Identity is what a data folder says of itself.
@@ -66,7 +70,7 @@
 	if err != nil {
 		return nil, errors.Errorf("open data folder %q: %w", cfg.Folder, err)
 	}
-	d := &Disk{db: db}
+	d := &Disk{db: db, last: map[uint32]uint64{}}
 	if err := d.check(cfg); err != nil {
 		return nil, errors.Errorf("open data folder %q: %w", cfg.Folder, errors.CombineErrors(err, db.Close()))
 	}
@@ -96,6 +100,8 @@
 
 // commit syncs a batch and notes that it is finished.
 func (d *Disk) commit(batch *pebble.Batch) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	next := d.mark.count + 1
 	if err := set(batch, _count, count{Writes: next}); err != nil {
 		return err
@@ -122,23 +128,54 @@
 
 // Save writes a replica's term, vote and entries, and syncs.
 func (d *Disk) Save(group uint32, cmd raft.SaveCmd) error {
-	batch := d.db.NewBatch()
+	batch, err := d.saving(group, cmd)
+	if err != nil {
+		return err
+	}
 	defer batch.Close()
-	if err := set(batch, key(group, _hard, 0), hard{Term: cmd.Term, Vote: cmd.Vote}); err != nil {
+	if err := d.commit(batch); err != nil {
 		return err
 	}
-	if len(cmd.Entries) > 0 {
+	if n := len(cmd.Entries); n > 0 {
+		d.ends(group, cmd.Entries[n-1].Index)
+	}
+	return nil
+}
+
+// saving returns the batch for a Save. Only entries that are really replaced
+// are deleted: each deletion of a range up to the end would overlap all later
+// ones, and the database's work on them grows with their square.
+func (d *Disk) saving(group uint32, cmd raft.SaveCmd) (*pebble.Batch, error) {
+	batch := d.db.NewBatch()
+	if err := set(batch, key(group, _hard, 0), hard{Term: cmd.Term, Vote: cmd.Vote}); err != nil {
+		return nil, err
+	}
+	if len(cmd.Entries) > 0 && d.replaces(group, cmd.Entries[0].Index) {
 		from := key(group, _entry, cmd.Entries[0].Index)
 		if err := batch.DeleteRange(from, key(group, _entry+1, 0), nil); err != nil {
-			return errors.Errorf("replace entries: %w", err)
+			return nil, errors.Errorf("replace entries: %w", err)
 		}
 	}
 	for _, e := range cmd.Entries {
 		if err := set(batch, key(group, _entry, e.Index), e); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	return d.commit(batch)
+	return batch, nil
+}
+
+// replaces reports whether entries from an index on may be in the folder.
+func (d *Disk) replaces(group uint32, from uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last, known := d.last[group]
+	return !known || from <= last
+}
+
+func (d *Disk) ends(group uint32, index uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.last[group] = index
 }
 
 // Snapshot writes a snapshot, drops the entries that it covers, and syncs.
@@ -155,7 +192,13 @@
 	if err := batch.DeleteRange(key(group, _entry, 0), end, nil); err != nil {
 		return errors.Errorf("drop entries: %w", err)
 	}
-	return d.commit(batch)
+	if err := d.commit(batch); err != nil {
+		return err
+	}
+	if cmd.Reset {
+		d.ends(group, cmd.Snapshot.Index)
+	}
+	return nil
 }
 
 func (d *Disk) identify() error {
--- a/disk/load.go
+++ b/disk/load.go
@@ -29,7 +29,11 @@
 	if err != nil {
 		return s, err
 	}
-	return s, checkState(s)
+	if err := checkState(s); err != nil {
+		return s, err
+	}
+	d.ends(group, s.Snapshot.Index+uint64(len(s.Entries)))
+	return s, nil
 }
 
 func (d *Disk) entries(group uint32) ([]raft.Entry, error) {
