--- a/claim/claim.go
+++ b/claim/claim.go
@@ -61,13 +61,13 @@
 // Model is a set of claims; one loop owns it.
 type Model struct {
 	cfg     Config
-	records map[string]Record
+	records table
 	due     dueHeap
 }
 
 // New returns an empty set of claims.
 func New(cfg Config) Model {
-	return Model{cfg: cfg, records: map[string]Record{}}
+	return Model{cfg: cfg, records: newTable()}
 }
 
 // Restore returns the set of claims that the records hold.
@@ -79,9 +79,9 @@
 	return m
 }
 
-// Records returns what is kept; the caller must not change it.
+// Records returns a copy of what is kept.
 func (m Model) Records() map[string]Record {
-	return m.records
+	return m.records.all()
 }
 
 // Update folds one message in and returns what follows from it.
@@ -93,13 +93,18 @@
 		return m.settle(msg)
 	case ClockMsg:
 		return m.expire(msg.At), nil
+	case FreezeMsg:
+		return m.freeze()
+	case ThawMsg:
+		m.records.thaw()
+		return m, nil
 	}
 	return m, nil
 }
 
 func (m Model) take(msg TakeMsg) (Model, []Cmd) {
 	m = m.expire(msg.At)
-	r, taken := m.records[msg.Key]
+	r, taken := m.records.get(msg.Key)
 	if !taken {
 		m.put(msg.Key, Record{
 			Digest: msg.Digest,
@@ -120,7 +125,7 @@
 
 // settle takes a holder's word also after its claim ran out: a proof stays one.
 func (m Model) settle(msg SettleMsg) (Model, []Cmd) {
-	r, ok := m.records[msg.Key]
+	r, ok := m.records.get(msg.Key)
 	if !ok || r.Holder != msg.Holder {
 		return m, []Cmd{SettledCmd{Key: msg.Key, State: Free}}
 	}
@@ -128,7 +133,7 @@
 		return m, []Cmd{SettledCmd{Key: msg.Key, State: Done}}
 	}
 	if msg.Outcome == NotRun {
-		delete(m.records, msg.Key)
+		m.records.drop(msg.Key)
 		return m, []Cmd{SettledCmd{Key: msg.Key, State: Free}}
 	}
 	r.State = Unknown
@@ -144,12 +149,12 @@
 func (m Model) expire(at time.Duration) Model {
 	for len(m.due) > 0 && m.due[0].until <= at {
 		d := heap.Pop(&m.due).(due)
-		r, ok := m.records[d.key]
+		r, ok := m.records.get(d.key)
 		if !ok || r.Until != d.until {
 			continue
 		}
 		if r.State != Running {
-			delete(m.records, d.key)
+			m.records.drop(d.key)
 			continue
 		}
 		r.State = Unknown
@@ -159,7 +164,15 @@
 	return m
 }
 
+// freeze hands out the records as they are now; they stand still until a thaw.
+func (m Model) freeze() (Model, []Cmd) {
+	if m.records.frozen {
+		return m, nil
+	}
+	return m, []Cmd{FrozenCmd{Records: m.records.freeze()}}
+}
+
 func (m *Model) put(key string, r Record) {
-	m.records[key] = r
+	m.records.put(key, r)
 	heap.Push(&m.due, due{key: key, until: r.Until})
 }
--- a/claim/messages.go
+++ b/claim/messages.go
@@ -26,7 +26,16 @@
 // ClockMsg lets claims run out and forgets old ones.
 type ClockMsg struct{ At time.Duration }
 
+// FreezeMsg lets the records stand still for a snapshot, while claims go on;
+// it does nothing while they stand still already.
+type FreezeMsg struct{}
+
+// ThawMsg ends a FreezeMsg: nobody reads the records any more.
+type ThawMsg struct{}
+
 func (TakeMsg) claimMsg()   {}
+func (FreezeMsg) claimMsg() {}
+func (ThawMsg) claimMsg()   {}
 func (SettleMsg) claimMsg() {}
 func (ClockMsg) claimMsg()  {}
 
@@ -52,6 +61,10 @@
 	State State
 }
 
+// FrozenCmd hands out the records, to be read and not changed until a ThawMsg.
+type FrozenCmd struct{ Records map[string]Record }
+
+func (FrozenCmd) claimCmd()   {}
 func (GrantedCmd) claimCmd()  {}
 func (HeldCmd) claimCmd()     {}
 func (MismatchCmd) claimCmd() {}
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -12,8 +12,8 @@
 
 // collect turns what waits in the inbox into messages; commands that wait
 // together become one proposal.
-func (r *Replica) collect(item any) []raft.Msg {
-	var msgs []raft.Msg
+func (r *Replica) collect(item any) []any {
+	var msgs []any
 	var batch raft.ProposeMsg
 	for range _maxBatch {
 		switch item := item.(type) {
@@ -21,7 +21,7 @@
 			batch.Proposals = r.propose(batch.Proposals, item)
 		case barrier:
 			msgs = append(msgs, raft.ReadMsg{ID: r.number(item.reply)})
-		case raft.Msg:
+		case raft.Msg, frozen:
 			msgs = append(msgs, item)
 		}
 		select {
@@ -58,6 +58,16 @@
 	return r.base + time.Since(r.lead)
 }
 
+func (r *Replica) take(item any) error {
+	switch item := item.(type) {
+	case frozen:
+		return r.thaw(item)
+	case raft.Msg:
+		return r.update(item)
+	}
+	return nil
+}
+
 func (r *Replica) update(msg raft.Msg) error {
 	model, cmds := r.model.Update(msg)
 	r.model = model
@@ -100,14 +110,44 @@
 		}
 	}
 	r.announce()
-	if r.model.Commit()-r.model.First() < _compactAfter {
-		return nil
+	if r.model.Commit()-r.model.First() >= _compactAfter {
+		r.freeze()
 	}
-	data, err := r.state.Save()
-	if err != nil {
-		return err
+	return nil
+}
+
+// freeze starts a snapshot beside the loop, which goes on meanwhile.
+func (r *Replica) freeze() {
+	if r.freezing {
+		return
+	}
+	r.mu.Lock()
+	state, snapshot, ok := r.state.Freeze()
+	r.state = state
+	r.mu.Unlock()
+	if !ok {
+		return
+	}
+	r.freezing = true
+	r.encoders.Go(func() {
+		data, err := snapshot.Encode()
+		select {
+		case r.inbox <- frozen{index: snapshot.Index, data: data, err: err}:
+		case <-r.done:
+		}
+	})
+}
+
+// thaw takes a finished snapshot; the log drops what it covers.
+func (r *Replica) thaw(f frozen) error {
+	r.freezing = false
+	r.mu.Lock()
+	r.state = r.state.Thaw()
+	r.mu.Unlock()
+	if f.err != nil {
+		return f.err
 	}
-	return r.update(raft.CompactMsg{Index: entries[len(entries)-1].Index, Data: data})
+	return r.update(raft.CompactMsg{Index: f.index, Data: f.data})
 }
 
 func (r *Replica) applyOne(e raft.Entry) error {
--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -59,6 +59,8 @@
 	nextID   uint64
 	waiting  map[uint64]chan<- outcome
 	accepted map[uint64]raft.AcceptedCmd
+	freezing bool
+	encoders sync.WaitGroup
 }
 
 // Status is what a replica knows of its group.
@@ -80,6 +82,13 @@
 	reply   chan<- outcome
 }
 
+// frozen is a finished snapshot of the state at an index.
+type frozen struct {
+	index uint64
+	data  []byte
+	err   error
+}
+
 // barrier asks the loop when the state is current.
 type barrier struct {
 	reply chan<- outcome
@@ -115,11 +124,12 @@
 
 // Run feeds the model until the context ends or the disk fails.
 func (r *Replica) Run(ctx context.Context) error {
+	defer r.encoders.Wait()
 	defer close(r.done)
 	ticker := time.NewTicker(_tick)
 	defer ticker.Stop()
 	for {
-		var msgs []raft.Msg
+		var msgs []any
 		select {
 		case <-ctx.Done():
 			return nil
@@ -129,7 +139,7 @@
 		}
 		msgs = append(msgs, raft.TickMsg{At: time.Since(r.start)})
 		for _, msg := range msgs {
-			if err := r.update(msg); err != nil {
+			if err := r.take(msg); err != nil {
 				return errors.Errorf("group %d: %w", r.cfg.Group, err)
 			}
 		}
--- a/store/snapshot.go
+++ b/store/snapshot.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,17 +24,51 @@
 	Suspects map[uint64]poison.Suspect `json:"suspects"`
 }
 
+// Freeze returns the whole state as it is now, to be encoded while entries go
+// on being applied, or false if an earlier Freeze was not ended by Thaw. Its
+// cost does not grow with the claims.
+func (m Model) Freeze() (Model, Snapshot, bool) {
+	claims, cmds := m.claims.Update(claim.FreezeMsg{})
+	m.claims = claims
+	for _, cmd := range cmds {
+		if frozen, ok := cmd.(claim.FrozenCmd); ok {
+			return m, m.snapshot(frozen.Records), true
+		}
+	}
+	return m, Snapshot{}, false
+}
+
+// Thaw ends a Freeze: its snapshot must not be read any more.
+func (m Model) Thaw() Model {
+	m.claims, _ = m.claims.Update(claim.ThawMsg{})
+	return m
+}
+
 // Save returns the whole state as bytes.
 func (m Model) Save() ([]byte, error) {
-	data, err := Codec.Encode(Snapshot{
+	return m.snapshot(m.claims.Records()).Encode()
+}
+
+func (m Model) snapshot(claims map[string]claim.Record) Snapshot {
+	s := Snapshot{
 		Index:    m.index,
 		At:       m.at,
 		View:     m.view.Snapshot(),
-		Arbiters: m.arbiters,
-		Claims:   m.claims.Records(),
-		Requests: m.requests,
-		Suspects: m.poison.Suspects(),
-	})
+		Arbiters: make(map[string]floor.Model, len(m.arbiters)),
+		Claims:   claims,
+		Requests: maps.Clone(m.requests),
+		Suspects: maps.Clone(m.poison.Suspects()),
+	}
+	for service, arbiter := range m.arbiters {
+		arbiter.Known = maps.Clone(arbiter.Known)
+		s.Arbiters[service] = arbiter
+	}
+	return s
+}
+
+// Encode returns the snapshot as bytes.
+func (s Snapshot) Encode() ([]byte, error) {
+	data, err := Codec.Encode(s)
 	if err != nil {
 		return nil, errors.Errorf("save snapshot: %w", err)
 	}
