Spread idempotency keys over groups that move between control hosts

Cause: one replication group took all claims.

Change: a fleet is founded with a fixed number of groups (4 unless set). A key belongs to a group by its hash for ever; a group lives on three hosts by rendezvous hashing, in different data centres, and moves by changes of its members when hosts come or go. Of more than seven hosts five vote on the configuration, the others observe, so that 30 hosts can answer nodes. The fleet's own group refuses claims, so that no key has two homes. Batches of several groups share one sync; a failed sync ends all writing.

--- a/config/config.go
+++ b/config/config.go
@@ -12,6 +12,8 @@
 	"github.com/damaskpitch/damaskpitch/spec"
 )
 
+const _defaultGroups = 4
+
 // Control is the settings of a control host.
 type Control struct {
 	Name   string `json:"name" validate:"required,label"`
@@ -22,14 +24,18 @@
 	Peer   string `json:"peer" validate:"required,ip_port"`
 	Key    string `json:"key" validate:"required,min=16"`
 	Token  string `json:"token,omitempty" validate:"omitempty,min=16"`
-	Hosts  []Host `json:"hosts" validate:"min=1,max=7,dive"`
+	Hosts  []Host `json:"hosts" validate:"min=1,max=30,dive"`
+	// Groups is the number of groups that idempotency keys are spread over; it
+	// never changes in a fleet's life.
+	Groups uint32 `json:"groups,omitempty" validate:"lte=256"`
 	Log    Log    `json:"log,omitempty"`
 }
 
 // Host is one control host as the others reach it.
 type Host struct {
-	Name string `json:"name" validate:"required,label"`
-	Addr string `json:"addr" validate:"required,ip_port"`
+	Name   string `json:"name" validate:"required,label"`
+	Addr   string `json:"addr" validate:"required,ip_port"`
+	Center string `json:"center,omitempty" validate:"omitempty,label"`
 }
 
 // Node is the settings of the process on a backend server host.
@@ -127,6 +133,14 @@
 	return &spec.FieldError{Field: "Control.data", Value: folder, Want: "a folder that can be written: " + err.Error()}
 }
 
+// ClaimGroups returns the number of groups of idempotency keys.
+func (c Control) ClaimGroups() uint32 {
+	if c.Groups == 0 {
+		return _defaultGroups
+	}
+	return c.Groups
+}
+
 // AddrOf returns the address of a control host as this one reaches it.
 func (c Control) AddrOf(name string) string {
 	for _, h := range c.Hosts {
--- a/ctrl/api.go
+++ b/ctrl/api.go
@@ -20,7 +20,6 @@
 const (
 	_apiTimeout   = 5 * time.Second
 	_requestLimit = 128
-	_votersWanted = 2
 )
 
 // Problem is the body of every error of the resource API.
@@ -109,10 +108,14 @@
 func (s *Server) write(w http.ResponseWriter, r *http.Request, c store.Command) {
 	ctx, cancel := context.WithTimeout(r.Context(), _apiTimeout)
 	defer cancel()
-	if !s.ready() {
+	if !s.fleet.ready() {
 		unavailable(w, errors.New("too few control hosts have joined"))
 		return
 	}
+	if !s.named() {
+		unavailable(w, errors.New("the fleet has no number yet"))
+		return
+	}
 	result, err := s.submit(ctx, c)
 	if err != nil {
 		s.refused(w, err)
@@ -143,18 +146,6 @@
 	})
 }
 
-// ready refuses writes while so few hosts have joined that losing one loses
-// accepted writes.
-func (s *Server) ready() bool {
-	voters := 0
-	for _, p := range s.replica.Status().Peers {
-		if !p.Learner {
-			voters++
-		}
-	}
-	return voters >= len(s.cfg.Settings.Hosts)/_votersWanted+1
-}
-
 // current waits until this host may answer for the present.
 func (s *Server) current(w http.ResponseWriter, r *http.Request) bool {
 	if r.URL.Query().Get("stale") != "" {
--- a/ctrl/boot.go
+++ b/ctrl/boot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,15 +17,15 @@
 	_callTimeout  = 2 * time.Second
 )
 
-// boot brings a blank host into the fleet: it joins where any host belongs to
-// one, and founds one only when every host answers and none does.
-func (s *Server) boot(ctx context.Context) error {
+// boot brings a blank host into a group: it joins where any host belongs to
+// the group, and founds it only when every voter answers and none belongs.
+func (g *group) boot(ctx context.Context) error {
 	ticker := time.NewTicker(_bootInterval)
 	defer ticker.Stop()
-	for !s.belongs() {
-		if s.mayFound(ctx) {
-			s.log.Info("found fleet")
-			return s.replica.Tell(ctx, raft.FoundMsg{Peer: s.self()})
+	for !g.belongs() {
+		if g.mayFound(ctx) {
+			g.server.log.Info("found group", slog.Uint64("group", uint64(g.id)))
+			return g.replica.Tell(ctx, raft.FoundMsg{Peer: g.self()})
 		}
 		select {
 		case <-ctx.Done():
@@ -35,39 +36,32 @@
 	return nil
 }
 
-func (s *Server) belongs() bool {
-	for _, p := range s.replica.Status().Peers {
-		if p.ID == s.disk.ID() {
-			return true
-		}
-	}
-	return false
-}
-
-// mayFound asks every other host; on the way it asks members to be let in.
-func (s *Server) mayFound(ctx context.Context) bool {
-	blank := true
-	lowest := true
-	for _, h := range s.cfg.Settings.Hosts {
-		if h.Name == s.cfg.Settings.Name {
+// mayFound asks the group's other voters; on the way it asks members to be let
+// in.
+func (g *group) mayFound(ctx context.Context) bool {
+	settings := g.server.cfg.Settings
+	may := g.votes()
+	for _, h := range g.voters {
+		if h.Name == settings.Name {
 			continue
 		}
-		lowest = lowest && s.cfg.Settings.Name < h.Name
-		greeting, err := s.greet(ctx, h.Addr)
+		may = may && settings.Name < h.Name
+		addr := settings.AddrOf(h.Name)
+		greeting, err := g.greet(ctx, addr)
 		if err != nil {
-			blank = false
+			may = false
 			continue
 		}
 		if greeting.Member {
-			blank = false
-			_, _ = s.call(ctx, h.Addr, proto.Join{Peer: s.self()})
+			may = false
+			_, _ = g.server.call(ctx, addr, proto.Join{Group: g.id, Peer: g.self()})
 		}
 	}
-	return blank && lowest
+	return may
 }
 
-func (s *Server) greet(ctx context.Context, addr string) (proto.Greeting, error) {
-	reply, err := s.call(ctx, addr, proto.Hello{})
+func (g *group) greet(ctx context.Context, addr string) (proto.Greeting, error) {
+	reply, err := g.server.call(ctx, addr, proto.Hello{Group: g.id})
 	if err != nil {
 		return proto.Greeting{}, err
 	}
@@ -78,10 +72,6 @@
 	return greeting, nil
 }
 
-func (s *Server) self() raft.Peer {
-	return raft.Peer{ID: s.disk.ID(), Name: s.cfg.Settings.Name, Addr: s.cfg.Settings.AddrOf(s.cfg.Settings.Name)}
-}
-
 // addrOf prefers this host's own settings to what the peer says of itself.
 func (s *Server) addrOf(p raft.Peer) string {
 	if addr := s.cfg.Settings.AddrOf(p.Name); addr != "" {
@@ -96,12 +86,18 @@
 	return s.client.Call(ctx, addr, msg)
 }
 
-// identify gives a new fleet its number, once.
-func (s *Server) identify(ctx context.Context) {
+// named reports whether the fleet has its number, and with it the number of
+// claim groups, which no keyed request can do without.
+func (s *Server) named() bool {
 	named := false
 	s.replica.Read(func(m store.Model) { named = m.View().Cluster != 0 })
-	if named {
+	return named
+}
+
+// identify gives a new fleet its number, once.
+func (s *Server) identify(ctx context.Context) {
+	if s.named() {
 		return
 	}
-	_, _ = s.replica.Submit(ctx, store.Found{Cluster: s.disk.ID()})
+	_, _ = s.replica.Submit(ctx, store.Found{Cluster: s.disk.ID(), Groups: s.cfg.Settings.ClaimGroups()})
 }
--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -36,8 +36,10 @@
 	Send   func(to raft.Peer, letter raft.Letter)
 	Lead   func()
 	Logger *slog.Logger
-	Store  store.Config
-	Raft   raft.Config
+	// Start is when the process started; the replicas of one process share it.
+	Start time.Time
+	Store store.Config
+	Raft  raft.Config
 }
 
 // Replica runs one raft.Model and the store.Model that it feeds.
@@ -53,7 +55,6 @@
 
 	// Owned by the loop.
 	model    raft.Model
-	start    time.Time
 	lead     time.Time
 	base     time.Duration
 	nextID   uint64
@@ -114,7 +115,6 @@
 		state:    state,
 		changed:  make(chan struct{}),
 		model:    raft.New(cfg.Raft, saved),
-		start:    time.Now(),
 		waiting:  map[uint64]chan<- outcome{},
 		accepted: map[uint64]raft.AcceptedCmd{},
 	}
@@ -137,7 +137,7 @@
 		case item := <-r.inbox:
 			msgs = r.collect(item)
 		}
-		msgs = append(msgs, raft.TickMsg{At: time.Since(r.start)})
+		msgs = append(msgs, raft.TickMsg{At: time.Since(r.cfg.Start)})
 		for _, msg := range msgs {
 			if err := r.take(msg); err != nil {
 				return errors.Errorf("group %d: %w", r.cfg.Group, err)
--- a/ctrl/rpc.go
+++ b/ctrl/rpc.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damaskpitch/damaskpitch/place"
 	"github.com/damaskpitch/damaskpitch/proto"
 	"github.com/damaskpitch/damaskpitch/raft"
 	"github.com/damaskpitch/damaskpitch/store"
@@ -31,9 +32,14 @@
 	case proto.Mail:
 		return proto.Ack{}, s.receive(ctx, msg)
 	case proto.Hello:
-		return proto.Greeting{ID: s.disk.ID(), Name: s.cfg.Settings.Name, Member: s.belongs()}, nil
+		g, held := s.groups[msg.Group]
+		return proto.Greeting{ID: s.disk.ID(), Name: s.cfg.Settings.Name, Member: held && g.belongs()}, nil
 	case proto.Join:
-		return proto.Ack{}, s.join(ctx, msg)
+		g, held := s.groups[msg.Group]
+		if !held {
+			return nil, ErrUnavailable
+		}
+		return proto.Ack{}, g.join(ctx, msg)
 	case proto.Submit:
 		return s.submitLocal(ctx, msg), nil
 	case proto.Barrier:
@@ -51,28 +57,17 @@
 
 func (s *Server) receive(ctx context.Context, mail proto.Mail) error {
 	for _, letter := range mail.Letters {
-		if letter.To != s.disk.ID() || letter.Group != _fleet {
+		g, held := s.groups[letter.Group]
+		if !held || letter.To != s.disk.ID() {
 			continue
 		}
-		if err := s.replica.Tell(ctx, raft.ReceiveMsg{From: letter.From, Body: letter.Body}); err != nil {
+		if err := g.replica.Tell(ctx, raft.ReceiveMsg{From: letter.From, Body: letter.Body}); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *Server) join(ctx context.Context, msg proto.Join) error {
-	if s.leading() {
-		return s.replica.Tell(ctx, raft.JoinMsg{Peer: msg.Peer})
-	}
-	addr := s.leaderAddr()
-	if addr == "" {
-		return ErrUnavailable
-	}
-	_, err := s.call(ctx, addr, msg)
-	return err
-}
-
 // submit runs a command at the leader; while it certainly had no effect, it is
 // tried again.
 func (s *Server) submit(ctx context.Context, c store.Command) (store.Result, error) {
@@ -125,16 +120,17 @@
 	if !ok {
 		return proto.Outcome{Error: "no command", None: true}
 	}
-	if !s.leading() {
-		return proto.Outcome{Leader: s.leaderAddr(), Error: ErrNoLeader.Error(), None: true}
+	if g, held := s.groups[msg.Group]; held {
+		return g.submit(ctx, c)
 	}
-	ctx, cancel := context.WithTimeout(ctx, _apiTimeout)
-	defer cancel()
-	result, err := s.replica.Submit(ctx, c)
-	if err != nil {
-		return proto.Outcome{Error: err.Error(), None: withoutEffect(err)}
-	}
-	return proto.Outcome{Result: result}
+	return proto.Outcome{Leader: s.holderOf(msg.Group), Error: "another host holds the group", None: true}
+}
+
+// holderOf returns the address of one of the hosts that hold a group, another
+// one each time.
+func (s *Server) holderOf(id uint32) string {
+	voters := place.Voters(id, s.hosts)
+	return s.cfg.Settings.AddrOf(voters[int(s.turn.Add(1))%len(voters)].Name)
 }
 
 // fresh waits until this host's state is as new as the leader's.
@@ -163,13 +159,7 @@
 }
 
 func (s *Server) leaderAddr() string {
-	status := s.replica.Status()
-	for _, p := range status.Peers {
-		if p.ID == status.Leader {
-			return s.addrOf(p)
-		}
-	}
-	return ""
+	return s.fleet.leaderAddr()
 }
 
 // pull answers a node with what changed, and waits for news for a while.
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -5,7 +5,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,18 +16,19 @@
 	"github.com/damaskpitch/damaskpitch/config"
 	"github.com/damaskpitch/damaskpitch/disk"
 	"github.com/damaskpitch/damaskpitch/meter"
+	"github.com/damaskpitch/damaskpitch/place"
 	"github.com/damaskpitch/damaskpitch/proto"
 	"github.com/damaskpitch/damaskpitch/raft"
+	"github.com/damaskpitch/damaskpitch/spec"
 	"github.com/damaskpitch/damaskpitch/store"
 	"github.com/damaskpitch/damaskpitch/wire"
 )
 
 const (
-	_fleet         uint32 = 0
-	_headerTimeout        = 5 * time.Second
-	_stopTimeout          = 5 * time.Second
-	_handover             = time.Second
-	_clockInterval        = time.Second
+	_headerTimeout = 5 * time.Second
+	_stopTimeout   = 5 * time.Second
+	_handover      = time.Second
+	_clockInterval = time.Second
 )
 
 // Config sets up a control daemon.
@@ -41,7 +44,11 @@
 	cfg     Config
 	log     *slog.Logger
 	disk    *disk.Disk
-	replica *Replica
+	start   time.Time
+	hosts   []place.Host
+	groups  map[uint32]*group // those that this host holds
+	fleet   *group
+	replica *Replica // of the fleet's group
 	client  *wire.Client
 	post    *post
 
@@ -50,6 +57,7 @@
 	roll     *roll
 	ctx      context.Context //nolint:containedctx // ends with the process
 	leads    chan struct{}
+	turn     atomic.Uint32
 }
 
 // New opens the data folder and returns the daemon.
@@ -62,33 +70,60 @@
 		cfg:    cfg,
 		log:    cfg.Logger.With(slog.String("host", cfg.Settings.Name)),
 		disk:   d,
+		start:  time.Now(),
+		groups: map[uint32]*group{},
 		client: wire.NewClient(cfg.Settings.Key, proto.Codec),
 		meter:  meter.New("control"),
 		ctx:    ctx,
 		leads:  make(chan struct{}, 1),
 	}
-	// Replication goes on until the replica has handed over.
+	for _, h := range cfg.Settings.Hosts {
+		s.hosts = append(s.hosts, place.Host{Name: h.Name, Center: h.Center})
+	}
+	// Replication goes on until the replicas have handed over.
 	postCtx, stopPost := context.WithCancel(context.WithoutCancel(ctx))
 	s.stopPost = stopPost
 	s.post = newPost(postCtx, s.client)
 	s.roll = newRoll(s)
-	cfg.Raft.ID = d.ID()
-	s.replica, err = NewReplica(ReplicaConfig{
-		Group:  _fleet,
-		Disk:   d,
-		Send:   func(to raft.Peer, letter raft.Letter) { s.post.send(s.addrOf(to), letter) },
-		Lead:   s.signalLead,
-		Logger: s.log,
-		Store:  cfg.Store,
-		Raft:   cfg.Raft,
-	})
-	if err != nil {
+	if err := s.openGroups(); err != nil {
 		stopPost()
 		return nil, errors.CombineErrors(err, d.Close())
 	}
 	return s, nil
 }
 
+// openGroups opens the fleet's group and the groups of claims that this host
+// holds, by its settings or by what its data folder says.
+func (s *Server) openGroups() error {
+	for id := place.Fleet; id <= s.cfg.Settings.ClaimGroups(); id++ {
+		g, err := newGroup(s, id)
+		if err != nil {
+			return err
+		}
+		if id == place.Fleet || g.votes() || g.belongs() {
+			s.groups[id] = g
+		}
+	}
+	s.fleet = s.groups[place.Fleet]
+	s.replica = s.fleet.replica
+	return s.checkGroups()
+}
+
+// checkGroups compares the settings with the number of groups that the fleet
+// was founded with: another number would send keys to other groups.
+func (s *Server) checkGroups() error {
+	var founded uint32
+	s.replica.Read(func(m store.Model) { founded = m.View().Groups })
+	if founded == 0 || founded == s.cfg.Settings.ClaimGroups() {
+		return nil
+	}
+	return &spec.FieldError{
+		Field: "Control.groups",
+		Value: strconv.FormatUint(uint64(s.cfg.Settings.ClaimGroups()), 10),
+		Want:  strconv.FormatUint(uint64(founded), 10) + ", the number that the fleet was founded with",
+	}
+}
+
 // Run serves until the context ends; then it hands over leadership, finishes
 // what is in flight and closes the data folder.
 func (s *Server) Run(ctx context.Context) error {
@@ -98,14 +133,19 @@
 	defer stopServing()
 	group, ctx := errgroup.WithContext(ctx)
 	var replica errgroup.Group
-	replica.Go(func() error { return s.replica.Run(replicaCtx) })
+	for _, g := range s.groups {
+		replica.Go(func() error { return g.replica.Run(replicaCtx) })
+		group.Go(func() error { return g.boot(ctx) })
+		if g != s.fleet {
+			group.Go(func() error { return g.tend(ctx) })
+		}
+	}
 	group.Go(func() error { return s.serve(serveCtx, s.cfg.Settings.Peer, s.peerHandler()) })
 	group.Go(func() error { return s.serve(serveCtx, s.cfg.Settings.API, s.apiHandler()) })
-	group.Go(func() error { return s.boot(ctx) })
 	group.Go(func() error { return s.govern(ctx) })
 	group.Go(func() error {
 		defer stopServing()
-		return s.watchReplica(ctx)
+		return s.watchReplicas(ctx)
 	})
 	err := group.Wait()
 	stopReplica()
@@ -117,29 +157,42 @@
 	return errors.CombineErrors(err, s.disk.Close())
 }
 
-// watchReplica ends the daemon when its replica has failed.
-func (s *Server) watchReplica(ctx context.Context) error {
+// watchReplicas ends the daemon when one of its replicas has failed.
+func (s *Server) watchReplicas(ctx context.Context) error {
+	failed := make(chan struct{}, 1)
+	for _, g := range s.groups {
+		go func() {
+			<-g.replica.done
+			select {
+			case failed <- struct{}{}:
+			default:
+			}
+		}()
+	}
 	select {
 	case <-ctx.Done():
 		s.handOver()
 		return nil
-	case <-s.replica.done:
+	case <-failed:
 		return ErrStopped
 	}
 }
 
-// handOver gives leadership to another host before a planned stop.
 func (s *Server) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), _handover)
 	defer cancel()
-	for ctx.Err() == nil && s.leading() && len(s.replica.Status().Peers) > 1 {
-		_ = s.replica.Tell(ctx, raft.TransferMsg{})
-		time.Sleep(_tick)
+	var groups errgroup.Group
+	for _, g := range s.groups {
+		groups.Go(func() error {
+			g.handOver(ctx)
+			return nil
+		})
 	}
+	_ = groups.Wait()
 }
 
 func (s *Server) leading() bool {
-	return s.replica.Status().Leader == s.disk.ID()
+	return s.fleet.leading()
 }
 
 // govern does the leader's work: it names the fleet, moves log time on and
@@ -153,6 +206,9 @@
 			return nil
 		case <-s.leads:
 			s.roll.reset(s.leading())
+			if s.leading() {
+				s.rule(ctx)
+			}
 		case <-ticker.C:
 			if !s.leading() {
 				continue
--- a/ctrl/status.go
+++ b/ctrl/status.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 
+	"github.com/damaskpitch/damaskpitch/place"
 	"github.com/damaskpitch/damaskpitch/proto"
 	"github.com/damaskpitch/damaskpitch/raft"
 	"github.com/damaskpitch/damaskpitch/store"
@@ -18,6 +21,15 @@
 	Hosts    []raft.Peer     `json:"hosts"`
 	Services []ServiceStatus `json:"services"`
 	Nodes    []proto.Held    `json:"nodes"`
+	Groups   []GroupStatus   `json:"groups"`
+}
+
+// GroupStatus is one group of idempotency keys that the asked host holds.
+type GroupStatus struct {
+	Group  uint32      `json:"group"`
+	Leader string      `json:"leader"`
+	Ready  bool        `json:"ready"`
+	Hosts  []raft.Peer `json:"hosts"`
 }
 
 // ServiceStatus says what is accepted and what is in force.
@@ -43,11 +55,12 @@
 		return
 	}
 	status := s.replica.Status()
-	out := FleetStatus{Term: status.Term, Hosts: status.Peers, Nodes: nodes}
-	for _, p := range status.Peers {
-		if p.ID == status.Leader {
-			out.Leader = p.Name
-		}
+	out := FleetStatus{
+		Term:   status.Term,
+		Leader: status.leaderName(),
+		Hosts:  status.Peers,
+		Nodes:  nodes,
+		Groups: s.claimGroups(),
 	}
 	s.replica.Read(func(m store.Model) {
 		out.Rev = m.View().Rev
@@ -58,6 +71,30 @@
 	writeJSON(w, http.StatusOK, out)
 }
 
+// claimGroups lists the groups of keys that this host holds, by number.
+func (s *Server) claimGroups() []GroupStatus {
+	var list []GroupStatus
+	for _, id := range slices.Sorted(maps.Keys(s.groups)) {
+		if id == place.Fleet {
+			continue
+		}
+		g := s.groups[id]
+		status := g.replica.Status()
+		list = append(list, GroupStatus{Group: id, Leader: status.leaderName(), Ready: g.ready(), Hosts: status.Peers})
+	}
+	return list
+}
+
+// leaderName returns the name of the group's leader, or nothing.
+func (s Status) leaderName() string {
+	for _, p := range s.Peers {
+		if p.ID == s.Leader {
+			return p.Name
+		}
+	}
+	return ""
+}
+
 func serviceStatus(m store.Model, v view.Versioned, nodes []proto.Held) ServiceStatus {
 	status := ServiceStatus{
 		Name:    v.Service.Name,
--- a/disk/disk.go
+++ b/disk/disk.go
@@ -16,6 +16,9 @@
 var (
 	// ErrCorrupt reports files that do not hold together.
 	ErrCorrupt = errors.New("data folder is corrupt")
+	// ErrFailed reports a write that may not have reached the disk; nothing is
+	// written after it.
+	ErrFailed = errors.New("data folder cannot be written")
 	// ErrFormat reports files of another version of the format.
 	ErrFormat = errors.New("data folder has another format")
 )
@@ -31,8 +34,9 @@
 	db *pebble.DB
 	id uint64
 
+	writer *writer
+
 	mu   sync.Mutex
-	mark *mark
 	last map[uint32]uint64 // index of each group's last entry, once it is known
 }
 
@@ -72,15 +76,22 @@
 	}
 	d := &Disk{db: db, last: map[uint32]uint64{}}
 	if err := d.check(cfg); err != nil {
-		return nil, errors.Errorf("open data folder %q: %w", cfg.Folder, errors.CombineErrors(err, db.Close()))
+		return nil, errors.Errorf("open data folder %q: %w", cfg.Folder, errors.CombineErrors(err, d.abandon()))
 	}
 	return d, nil
 }
 
+// abandon closes what a failed Open has opened.
+func (d *Disk) abandon() error {
+	if d.writer == nil {
+		return d.db.Close()
+	}
+	return d.writer.close()
+}
+
 // check compares the database with the mark and reads or writes the identity.
 func (d *Disk) check(cfg Config) error {
-	var err error
-	d.mark, err = openMark(cfg.FS, cfg.Folder)
+	m, err := openMark(cfg.FS, cfg.Folder)
 	if err != nil {
 		return err
 	}
@@ -91,25 +102,17 @@
 	if held == nil {
 		held = &count{}
 	}
-	if held.Writes < d.mark.count {
-		return errors.Errorf("%d of %d finished writes are left: %w", held.Writes, d.mark.count, ErrCorrupt)
+	if held.Writes < m.count {
+		return errors.Errorf("%d of %d finished writes are left: %w", held.Writes, m.count, ErrCorrupt)
 	}
-	d.mark.count = held.Writes
+	m.count = held.Writes
+	d.writer = newWriter(d.db, m)
 	return d.identify()
 }
 
 // commit syncs a batch and notes that it is finished.
 func (d *Disk) commit(batch *pebble.Batch) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	next := d.mark.count + 1
-	if err := set(batch, _count, count{Writes: next}); err != nil {
-		return err
-	}
-	if err := batch.Commit(pebble.Sync); err != nil {
-		return errors.Errorf("sync: %w", err)
-	}
-	return d.mark.set(next)
+	return d.writer.write(batch)
 }
 
 // ID returns the identity of the data folder.
@@ -119,7 +122,7 @@
 
 // Close closes the files.
 func (d *Disk) Close() error {
-	err := errors.CombineErrors(d.db.Close(), d.mark.file.Close())
+	err := d.writer.close()
 	if err != nil {
 		return errors.Errorf("close data folder: %w", err)
 	}
--- a/disk/disk_test.go
+++ b/disk/disk_test.go
@@ -82,16 +82,18 @@
 	fs := errorfs.Wrap(vfs.NewMem(), toggle)
 	d := open(t, fs)
 	toggle.On()
-	failed := func() (err error) {
-		defer func() {
-			if r := recover(); r != nil {
-				err = errors.Newf("stopped: %v", r)
-			}
-		}()
-		return d.Save(0, raft.SaveCmd{Term: 1, Entries: []raft.Entry{{Index: 1, Term: 1}}})
-	}()
-	if failed == nil {
-		t.Fatal("a failed sync was acknowledged")
+	save := func(index uint64) error {
+		return d.Save(0, raft.SaveCmd{Term: 1, Entries: []raft.Entry{{Index: index, Term: 1}}})
+	}
+	if err := save(1); !errors.Is(err, ErrFailed) {
+		t.Fatalf("a failed sync came to %v", err)
+	}
+	toggle.Off()
+	if err := save(2); !errors.Is(err, ErrFailed) {
+		t.Fatalf("a write after a failed sync came to %v", err)
+	}
+	if err := d.Close(); !errors.Is(err, ErrFailed) {
+		t.Errorf("closed with %v", err)
 	}
 }
 
--- a/node/beat.go
+++ b/node/beat.go
@@ -7,12 +7,16 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damaskpitch/damaskpitch/place"
 	"github.com/damaskpitch/damaskpitch/proto"
 	"github.com/damaskpitch/damaskpitch/spread"
 	"github.com/damaskpitch/damaskpitch/store"
 	"github.com/damaskpitch/damaskpitch/view"
 )
 
+// _redirects is how often a control host may name another one to ask.
+const _redirects = 2
+
 // ErrControl says that no control host took a command.
 var ErrControl = errors.New("no control host answers")
 
@@ -54,7 +58,7 @@
 	msg := proto.Beat{
 		Node: s.cfg.Settings.Name, Epoch: s.epoch.Load(), Rev: rev, Digest: view.Digest(instances),
 	}
-	reply, err := s.callControl(ctx, msg)
+	reply, err := s.callControl(ctx, place.Fleet, msg)
 	if err != nil {
 		return err
 	}
@@ -66,7 +70,7 @@
 }
 
 func (s *Server) enroll(ctx context.Context, instances []view.Instance) error {
-	result, err := s.submit(ctx, store.Enroll{Member: s.member(), Instances: instances})
+	result, err := s.submit(ctx, place.Fleet, store.Enroll{Member: s.member(), Instances: instances})
 	if err != nil {
 		return errors.Errorf("enroll: %w", err)
 	}
@@ -100,12 +104,13 @@
 	}
 }
 
-// submit runs a command at the leader; every command may be sent again.
-func (s *Server) submit(ctx context.Context, c store.Command) (store.Result, error) {
+// submit runs a command at the leader of a group; every command may be sent
+// again.
+func (s *Server) submit(ctx context.Context, group uint32, c store.Command) (store.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, _submitTimeout)
 	defer cancel()
 	for {
-		reply, err := s.callControl(ctx, proto.Submit{Command: c})
+		reply, err := s.callControl(ctx, group, proto.Submit{Group: group, Command: c})
 		out, _ := reply.(proto.Outcome)
 		if result, ok := out.Result.(store.Result); ok && err == nil {
 			return result, nil
@@ -118,21 +123,21 @@
 	}
 }
 
-// callControl asks the known leader, or the control hosts in turn.
-func (s *Server) callControl(ctx context.Context, msg any) (any, error) {
+// callControl asks a group's known leader, or the control hosts in turn.
+func (s *Server) callControl(ctx context.Context, group uint32, msg any) (any, error) {
 	hosts := s.cfg.Settings.Control
-	for range len(hosts) + 1 {
-		addr := s.leaderAddr()
+	for range len(hosts) + _redirects {
+		addr := s.leaderAddr(group)
 		reply, err := s.call(ctx, addr, msg)
 		if err != nil {
-			s.followLeader("")
+			s.followLeader(group, "")
 			continue
 		}
 		leader, elsewhere := leaderIn(reply)
 		if !elsewhere {
 			return reply, nil
 		}
-		s.followLeader(leader)
+		s.followLeader(group, leader)
 	}
 	return nil, ErrControl
 }
@@ -148,20 +153,20 @@
 	return "", false
 }
 
-func (s *Server) leaderAddr() string {
+func (s *Server) leaderAddr(group uint32) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leader != "" {
-		return s.leader
+	if addr := s.leaders[group]; addr != "" {
+		return addr
 	}
 	hosts := s.cfg.Settings.Control
 	return hosts[s.turn.Add(1)%uint64(len(hosts))]
 }
 
-func (s *Server) followLeader(addr string) {
+func (s *Server) followLeader(group uint32, addr string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leader = addr
+	s.leaders[group] = addr
 }
 
 func (s *Server) call(ctx context.Context, addr string, msg any) (any, error) {
--- a/node/crash.go
+++ b/node/crash.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damaskpitch/damaskpitch/place"
 	"github.com/damaskpitch/damaskpitch/store"
 	"github.com/damaskpitch/damaskpitch/view"
 )
@@ -46,7 +47,7 @@
 	}
 	go func() {
 		key := view.Key{Node: s.cfg.Settings.Name, ID: id}
-		_, err := s.submit(context.Background(), store.Crash{Key: key, Epoch: s.epoch.Load(), Prints: prints})
+		_, err := s.submit(context.Background(), place.Fleet, store.Crash{Key: key, Epoch: s.epoch.Load(), Prints: prints})
 		s.log.Info("crash reported", slog.String("instance", id), slog.Any("error", err))
 	}()
 }
--- a/node/detect.go
+++ b/node/detect.go
@@ -12,6 +12,7 @@
 	"github.com/damaskpitch/damaskpitch/gate"
 	"github.com/damaskpitch/damaskpitch/judge"
 	"github.com/damaskpitch/damaskpitch/ledger"
+	"github.com/damaskpitch/damaskpitch/place"
 	"github.com/damaskpitch/damaskpitch/route"
 	"github.com/damaskpitch/damaskpitch/spec"
 	"github.com/damaskpitch/damaskpitch/store"
@@ -122,7 +123,7 @@
 // ends before the arbiter's lease does.
 func (s *Server) eject(b *backend, cmd judge.EjectCmd) {
 	at := s.now()
-	result, err := s.submit(context.Background(), store.Eject{
+	result, err := s.submit(context.Background(), place.Fleet, store.Eject{
 		Key: s.key(b), Epoch: s.epoch.Load(), TTL: cmd.For,
 	})
 	granted, ok := result.(store.Granted)
@@ -144,7 +145,7 @@
 }
 
 func (s *Server) restore(b *backend) {
-	_, err := s.submit(context.Background(), store.Restore{Key: s.key(b), Epoch: s.epoch.Load()})
+	_, err := s.submit(context.Background(), place.Fleet, store.Restore{Key: s.key(b), Epoch: s.epoch.Load()})
 	s.log.Info("restored", slog.String("instance", b.instance.ID), slog.Any("error", err))
 }
 
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/damaskpitch/damaskpitch/place"
 	"github.com/damaskpitch/damaskpitch/retry"
 	"github.com/damaskpitch/damaskpitch/route"
 	"github.com/damaskpitch/damaskpitch/spec"
@@ -18,6 +19,7 @@
 	mu       sync.RWMutex
 	table    *route.Table
 	services map[string]*service
+	groups   uint32 // of idempotency keys
 	banned   map[uint64]bool
 	held     map[uint64]time.Time // until the whole fleet's ban is in force
 }
@@ -87,6 +89,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.banned = banned
+	f.groups = v.Groups
 	if all {
 		names = nil
 		for _, s := range v.Services() {
@@ -107,6 +110,17 @@
 	}
 }
 
+// groupOf returns the group that an idempotency key belongs to, or false while
+// the view does not tell how many groups there are.
+func (f *fleet) groupOf(key string) (uint32, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if f.groups == 0 {
+		return 0, false
+	}
+	return place.GroupOf(key, f.groups), true
+}
+
 // updateService reports whether the service's declaration changed.
 func (f *fleet) updateService(v *view.View, name string, list []route.Candidate) bool {
 	declared, ok := v.Service(name)
--- a/node/keyed.go
+++ b/node/keyed.go
@@ -37,7 +37,11 @@
 		Holder: ledger.Ref{Node: e.server.cfg.Settings.Name, Epoch: e.server.epoch.Load(), Seq: seq}.String(),
 		TTL:    time.Until(e.deadline) + _claimMargin,
 	}
-	answer, err := e.server.submit(ctx, e.claim)
+	group, ok := e.server.fleet.groupOf(e.claim.Key)
+	if !ok {
+		return trip.ClaimedMsg{Claim: trip.Failed}
+	}
+	answer, err := e.server.submit(ctx, group, e.claim)
 	if err != nil {
 		return trip.ClaimedMsg{Claim: trip.Failed}
 	}
@@ -119,8 +123,9 @@
 func (s *Server) settle(c store.Claim, outcome claim.Outcome, answer claim.Answer) {
 	ctx, cancel := context.WithTimeout(context.Background(), _settleTimeout)
 	defer cancel()
-	for ctx.Err() == nil {
-		_, err := s.submit(ctx, store.Settle{Key: c.Key, Holder: c.Holder, Outcome: outcome, Answer: answer})
+	group, ok := s.fleet.groupOf(c.Key)
+	for ok && ctx.Err() == nil {
+		_, err := s.submit(ctx, group, store.Settle{Key: c.Key, Holder: c.Holder, Outcome: outcome, Answer: answer})
 		if err == nil {
 			return
 		}
--- a/node/server.go
+++ b/node/server.go
@@ -57,7 +57,7 @@
 	gate     gate.Model
 	waiting  map[ledger.Ref]chan gate.Cmd
 	backs    map[string]*backend
-	leader   string
+	leaders  map[uint32]string // of each replication group, as last heard
 	aboard   *poison.Aboard
 	stopping atomic.Bool
 
@@ -79,6 +79,7 @@
 		kick:    make(chan struct{}, 1),
 		gate:    gate.New(gate.Config{}),
 		waiting: map[ledger.Ref]chan gate.Cmd{},
+		leaders: map[uint32]string{},
 		backs:   map[string]*backend{},
 		aboard:  poison.NewAboard(),
 	}
--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,101 @@
+package place
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+const _groups = 64
+
+func hosts(n int) []Host {
+	var list []Host
+	for i := range n {
+		list = append(list, Host{Name: fmt.Sprint("c", i), Center: fmt.Sprint("d", i%11)})
+	}
+	return list
+}
+
+// TestVoters lists how many hosts hold a group, in how many data centres.
+func TestVoters(t *testing.T) {
+	cases := []struct {
+		hosts, fleet, claims, centers int
+	}{
+		{1, 1, 1, 1},
+		{2, 2, 2, 2},
+		{3, 3, 3, 3},
+		{7, 7, 3, 3},
+		{8, 5, 3, 3},
+		{30, 5, 3, 3},
+	}
+	for _, c := range cases {
+		if got := len(Voters(Fleet, hosts(c.hosts))); got != c.fleet {
+			t.Errorf("%d hosts: %d vote in the fleet's group, want %d", c.hosts, got, c.fleet)
+		}
+		for group := uint32(1); group <= _groups; group++ {
+			voters := Voters(group, hosts(c.hosts))
+			centers := map[string]bool{}
+			for _, h := range voters {
+				centers[h.Center] = true
+			}
+			if len(voters) != c.claims || len(centers) != c.centers {
+				t.Errorf("%d hosts, group %d: %v", c.hosts, group, voters)
+			}
+		}
+	}
+}
+
+// TestSpread bounds the share of the busiest of 30 hosts at twice the mean.
+func TestSpread(t *testing.T) {
+	held := map[string]int{}
+	for group := uint32(1); group <= _groups; group++ {
+		for _, h := range Voters(group, hosts(30)) {
+			held[h.Name]++
+		}
+	}
+	mean := float64(_groups*_claimVoters) / 30
+	for name, n := range held {
+		if float64(n) > 2*mean {
+			t.Errorf("%s holds %d groups, the mean is %.1f", name, n, mean)
+		}
+	}
+}
+
+// TestOneMoreHost moves only groups to the host that was added, so that no
+// group loses more than one of its hosts.
+func TestOneMoreHost(t *testing.T) {
+	moved := 0
+	for group := uint32(1); group <= _groups; group++ {
+		before, after := Voters(group, hosts(12)), Voters(group, hosts(13))
+		gone := 0
+		for _, h := range before {
+			if !slices.Contains(after, h) {
+				gone++
+			}
+		}
+		moved += gone
+		if gone > 1 {
+			t.Errorf("group %d goes from %v to %v", group, before, after)
+		}
+	}
+	if moved == 0 || moved > _groups {
+		t.Errorf("%d of %d groups moved", moved, _groups)
+	}
+}
+
+// TestGroupOf spreads keys over all groups, each within a tenth of the mean.
+func TestGroupOf(t *testing.T) {
+	const keys = 256000
+	held := map[uint32]int{}
+	for n := range keys {
+		held[GroupOf(fmt.Sprint("renewal-", n), _groups)]++
+	}
+	for group := uint32(1); group <= _groups; group++ {
+		if got := held[group]; got < keys/_groups*9/10 || got > keys/_groups*11/10 {
+			t.Errorf("group %d holds %d of %d keys", group, got, keys)
+		}
+	}
+	if len(held) != _groups {
+		t.Errorf("%d groups hold keys", len(held))
+	}
+}
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -83,19 +83,23 @@
 	Age  time.Duration `json:"age"`
 }
 
-// Hello asks a control host who it is.
-type Hello struct{}
+// Hello asks a process who it is, and a control host whether it belongs to a
+// replication group.
+type Hello struct {
+	Group uint32 `json:"group,omitempty"`
+}
 
-// Greeting answers a Hello; Member says that the host belongs to a fleet.
+// Greeting answers a Hello; Member says that the host belongs to the group.
 type Greeting struct {
 	ID     uint64 `json:"id"`
 	Name   string `json:"name"`
 	Member bool   `json:"member"`
 }
 
-// Join asks to add a control host.
+// Join asks to add a control host to a replication group.
 type Join struct {
-	Peer raft.Peer `json:"peer"`
+	Group uint32    `json:"group,omitempty"`
+	Peer  raft.Peer `json:"peer"`
 }
 
 // Mail carries replication messages.
@@ -154,6 +158,6 @@
 	return append(list,
 		Pull{}, Delta{}, Beat{}, BeatReply{}, Submit{}, Outcome{}, Barrier{}, Current{},
 		Census{}, Holding{}, Hello{}, Greeting{}, Join{}, Mail{}, Probe{}, Probed{},
-		Inquire{}, Fate{}, Ack{}, Inherit{}, Legacy{},
+		Inquire{}, Fate{}, Ack{}, Inherit{}, Legacy{}, store.Misrouted{},
 	)
 }
--- a/raft/entry.go
+++ b/raft/entry.go
@@ -35,6 +35,8 @@
 	Name    string `json:"name"`
 	Addr    string `json:"addr"`
 	Learner bool   `json:"learner,omitempty"`
+	// Observer marks a learner that never becomes a voter.
+	Observer bool `json:"observer,omitempty"`
 }
 
 // WithLearner returns the peer as a learner or as a voter.
--- a/raft/members.go
+++ b/raft/members.go
@@ -14,10 +14,17 @@
 
 // join adds a replica as a learner; it counts in no quorum yet.
 func (m *Model) join(p Peer) []Cmd {
-	if !m.settled() || contains(m.peers, p.ID) {
+	if !m.settled() || contains(m.peers, p.ID) && !m.promotes(p) {
 		return nil
 	}
-	return m.setPeers(append(slices.Clone(m.peers), p.WithLearner(true)))
+	return m.setPeers(append(without(m.peers, p.ID), p.WithLearner(true)))
+}
+
+// promotes reports whether a known observer asks to become a voter.
+func (m *Model) promotes(p Peer) bool {
+	return slices.ContainsFunc(m.peers, func(old Peer) bool {
+		return old.ID == p.ID && old.Observer && !p.Observer
+	})
 }
 
 func (m *Model) leave(id uint64) []Cmd {
@@ -35,7 +42,7 @@
 	}
 	for i, p := range m.peers {
 		f := m.followers[p.ID]
-		if p.Learner && f != nil && f.match >= m.commit && m.at < f.seen+m.cfg.Election {
+		if p.Learner && !p.Observer && f != nil && f.match >= m.commit && m.at < f.seen+m.cfg.Election {
 			peers := slices.Clone(m.peers)
 			peers[i] = p.WithLearner(false)
 			return m.setPeers(peers)
@@ -63,7 +70,7 @@
 
 func replaced(old Peer, later []Peer) bool {
 	return slices.ContainsFunc(later, func(p Peer) bool {
-		return p.Name == old.Name && !p.Learner
+		return p.Name == old.Name && (!p.Learner || p.Observer && old.Observer)
 	})
 }
 
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -110,3 +110,37 @@
 		t.Fatalf("committed %d after %d, leader %d", w.best, before, w.leader())
 	}
 }
+
+// TestObserver joins two observers to three voters: they hold the log and
+// never vote, one that was replaced goes, and one that asks becomes a voter.
+func TestObserver(t *testing.T) {
+	w := newWorld(4, 3)
+	w.settle(3 * time.Second)
+	join := func(p Peer) {
+		if w.replicas[p.ID] == nil {
+			w.add(p.ID, State{})
+		}
+		w.tell(w.leader(), JoinMsg{Peer: p})
+		w.propose(w.leader())
+		w.settle(2 * time.Second)
+	}
+	join(Peer{ID: 8, Name: "o1", Addr: "x", Observer: true})
+	join(Peer{ID: 9, Name: "o2", Addr: "x", Observer: true})
+	leader := w.replicas[w.leader()].model
+	for _, id := range []uint64{8, 9} {
+		observer := w.replicas[id].model
+		if leader.voter(id) || !contains(leader.peers, id) || observer.Commit() != leader.Commit() {
+			t.Fatalf("observer %d has %d of %d, peers %+v", id, observer.Commit(), leader.Commit(), leader.peers)
+		}
+	}
+	w.replicas[8].down = true
+	join(Peer{ID: 10, Name: "o1", Addr: "x", Observer: true})
+	join(Peer{ID: 9, Name: "o2", Addr: "x"})
+	leader = w.replicas[w.leader()].model
+	if contains(leader.peers, 8) || leader.voter(10) || !contains(leader.peers, 10) || !leader.voter(9) {
+		t.Errorf("peers %+v", leader.peers)
+	}
+	if w.broken != nil {
+		t.Error(w.broken)
+	}
+}
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -14,7 +14,9 @@
 		return nil
 	}
 	cmds := m.reshape()
-	m.beat = m.at + m.cfg.Heartbeat
+	// The replicas of one process beat together, so that their messages share
+	// a call.
+	m.beat = m.at - m.at%m.cfg.Heartbeat + m.cfg.Heartbeat
 	for _, f := range m.followers {
 		f.rewind()
 	}
--- a/store/arbiter.go
+++ b/store/arbiter.go
@@ -89,6 +89,9 @@
 }
 
 func (m Model) claim(c Claim) (Model, Result) {
+	if m.cfg.Keyless {
+		return m, Misrouted{}
+	}
 	claims, cmds := m.claims.Update(claim.TakeMsg{
 		Key: c.Key, Digest: c.Digest, Holder: c.Holder, At: m.at, TTL: c.TTL,
 	})
--- a/store/command.go
+++ b/store/command.go
@@ -22,9 +22,10 @@
 // Command is one of the commands of this file.
 type Command interface{ command() }
 
-// Found gives the fleet its identity.
+// Found gives the fleet its identity and its number of claim groups.
 type Found struct {
 	Cluster uint64 `json:"cluster"`
+	Groups  uint32 `json:"groups,omitempty"`
 }
 
 // PutService writes a service if its revision is Match; Request names the
--- a/store/result.go
+++ b/store/result.go
@@ -47,6 +47,10 @@
 // Mismatched says that the key was used for another request.
 type Mismatched struct{}
 
+// Misrouted says that another group holds the key.
+type Misrouted struct{}
+
+func (Misrouted) result()  {}
 func (Written) result()    {}
 func (Conflict) result()   {}
 func (Missing) result()    {}
--- a/store/store.go
+++ b/store/store.go
@@ -23,6 +23,8 @@
 	Requests time.Duration
 	// Retention is how long an idempotency key keeps its answer.
 	Retention time.Duration
+	// Keyless refuses claims, which belong to other groups.
+	Keyless bool
 }
 
 // Model is the replicated state; one loop owns it.
@@ -99,7 +101,7 @@
 	}
 	switch c := e.Command.(type) {
 	case Found:
-		m.emit(view.Founded{Cluster: c.Cluster})
+		m.emit(view.Founded{Cluster: c.Cluster, Groups: c.Groups})
 		return m, Written{Rev: m.index}
 	case PutService:
 		return m.once(c.Request, func() Result { return m.putService(c) })
--- a/tools/claims/main.go
+++ b/tools/claims/main.go
@@ -19,6 +19,7 @@
 
 	"github.com/damaskpitch/damaskpitch/config"
 	"github.com/damaskpitch/damaskpitch/ctrl"
+	"github.com/damaskpitch/damaskpitch/place"
 	"github.com/damaskpitch/damaskpitch/proto"
 	"github.com/damaskpitch/damaskpitch/store"
 	"github.com/damaskpitch/damaskpitch/wire"
@@ -36,6 +37,7 @@
 		Name: "claims",
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "hosts", Usage: "control hosts", Value: 3},
+			&cli.IntFlag{Name: "groups", Usage: "groups of keys", Value: 4},
 			&cli.DurationFlag{Name: "for", Usage: "time of each load", Value: 5 * time.Second},
 		},
 		Action: measure,
@@ -49,13 +51,13 @@
 func measure(ctx context.Context, c *cli.Command) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	leader, err := start(ctx, c.Int("hosts"))
+	leader, err := start(ctx, c.Int("hosts"), uint32(c.Int("groups")))
 	if err != nil {
 		return err
 	}
 	fmt.Println("| callers at a time | claims/s | p50 | p99 | failed |\n|---|---|---|---|---|")
 	for _, callers := range []int{1, 8, 64, 256} {
-		h, failed := load(ctx, leader, callers, c.Duration("for"))
+		h, failed := load(ctx, leader, callers, uint32(c.Int("groups")), c.Duration("for"))
 		fmt.Printf("| %d | %.0f | %v | %v | %d |\n", callers, float64(h.TotalCount())/c.Duration("for").Seconds(),
 			time.Duration(h.ValueAtQuantile(50))*time.Microsecond, time.Duration(h.ValueAtQuantile(99))*time.Microsecond, failed)
 	}
@@ -65,7 +67,7 @@
 func addr(n int) string { return fmt.Sprintf("127.0.0.1:%d", _base+n) }
 
 // start runs the control hosts and returns the leader's address.
-func start(ctx context.Context, n int) (string, error) {
+func start(ctx context.Context, n int, groups uint32) (string, error) {
 	folder, err := os.MkdirTemp("", "damaskpitch-claims-")
 	if err != nil {
 		return "", fmt.Errorf("data folder: %w", err)
@@ -77,7 +79,7 @@
 	}
 	for i, h := range hosts {
 		s, err := ctrl.New(ctx, ctrl.Config{Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)), Settings: config.Control{
-			Name: h.Name, Center: "mida", Data: filepath.Join(folder, h.Name), API: addr(2 * i), Peer: h.Addr, Key: _key, Hosts: hosts,
+			Name: h.Name, Center: "mida", Data: filepath.Join(folder, h.Name), API: addr(2 * i), Peer: h.Addr, Key: _key, Hosts: hosts, Groups: groups,
 		}})
 		if err != nil {
 			return "", err
@@ -99,32 +101,39 @@
 }
 
 // load claims from so many callers at a time.
-func load(ctx context.Context, leader string, callers int, span time.Duration) (*hdrhistogram.Histogram, int) {
+func load(ctx context.Context, leader string, callers int, groups uint32, span time.Duration) (*hdrhistogram.Histogram, int) {
 	client := wire.NewClient(_key, proto.Codec)
 	h := hdrhistogram.New(1, _maxMicros, _digits)
-	failed := 0
+	failed, redirected := 0, 0
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	end := time.Now().Add(span)
-	var target atomic.Value
-	target.Store(leader)
+	targets := make([]atomic.Value, groups+1)
+	for i := range targets {
+		targets[i].Store(leader)
+	}
 	for caller := range callers {
 		wg.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
 				started := time.Now()
 				key := fmt.Sprintf("k-%d-%d-%d", callers, caller, n)
-				reply, err := client.Call(ctx, target.Load().(string), proto.Submit{
+				group := place.GroupOf(key, groups)
+				reply, err := client.Call(ctx, targets[group].Load().(string), proto.Submit{
+					Group:   group,
 					Command: store.Claim{Key: key, Digest: 1, Holder: "n.1.1", TTL: time.Minute},
 				})
 				out, _ := reply.(proto.Outcome)
 				claimed, ok := out.Result.(store.Claimed)
 				if out.Leader != "" {
-					target.Store(out.Leader)
+					targets[group].Store(out.Leader)
 				}
 				mu.Lock()
-				if err != nil || !ok || !claimed.Granted {
+				switch {
+				case out.Leader != "":
+					redirected++
+				case err != nil || !ok || !claimed.Granted:
 					failed++
-				} else {
+				default:
 					_ = h.RecordValue(time.Since(started).Microseconds())
 				}
 				mu.Unlock()
@@ -132,5 +141,8 @@
 		})
 	}
 	wg.Wait()
+	if redirected > 0 {
+		fmt.Printf("(%d asked another host first)\n", redirected)
+	}
 	return h, failed
 }
--- a/view/event.go
+++ b/view/event.go
@@ -13,9 +13,10 @@
 	change()
 }
 
-// Founded gives the fleet its identity.
+// Founded gives the fleet its identity and its number of claim groups.
 type Founded struct {
 	Cluster uint64 `json:"cluster"`
+	Groups  uint32 `json:"groups,omitempty"`
 }
 
 // ServicePut creates or replaces a service.
--- a/view/snapshot.go
+++ b/view/snapshot.go
@@ -6,6 +6,7 @@
 type Snapshot struct {
 	Rev      uint64      `json:"rev"`
 	Cluster  uint64      `json:"cluster"`
+	Groups   uint32      `json:"groups,omitempty"`
 	Services []Versioned `json:"services"`
 	Hosts    []Host      `json:"hosts"`
 	Ejected  []Key       `json:"ejected"`
@@ -20,7 +21,7 @@
 
 // Snapshot returns the whole view.
 func (v *View) Snapshot() Snapshot {
-	s := Snapshot{Rev: v.Rev, Cluster: v.Cluster, Services: v.Services(), Ejected: v.EjectedKeys(), Banned: v.Banned()}
+	s := Snapshot{Rev: v.Rev, Cluster: v.Cluster, Groups: v.Groups, Services: v.Services(), Ejected: v.EjectedKeys(), Banned: v.Banned()}
 	for _, m := range v.Members() {
 		s.Hosts = append(s.Hosts, Host{Member: m, Instances: v.InstancesOf(m.Node)})
 	}
@@ -47,6 +48,7 @@
 	}
 	v.Rev = s.Rev
 	v.Cluster = s.Cluster
+	v.Groups = s.Groups
 	return v
 }
 
--- a/view/view.go
+++ b/view/view.go
@@ -11,6 +11,7 @@
 type View struct {
 	Rev       uint64
 	Cluster   uint64
+	Groups    uint32
 	services  map[string]Versioned
 	members   map[string]Member
 	instances map[string]map[string]Instance
@@ -43,6 +44,7 @@
 	switch c := e.Change.(type) {
 	case Founded:
 		v.Cluster = c.Cluster
+		v.Groups = c.Groups
 	case BanPut:
 		v.banned[c.Print] = true
 	case BanGone:
