Check the history of racing operators for linearizability

Change: control hosts reach each other through relays; four operators race at four hosts (conditional and unconditional writes, reads, resends of unknown outcomes elsewhere) through a two-two split, a leader that hears nobody, a killed and a frozen leader. A library checks the history against a register.

No fault was found in the code itself.

--- /dev/null
+++ b/trials/history_test.go
@@ -0,0 +1,282 @@
+package trials
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/damaskpitch/damaskpitch/fakes"
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+const (
+	_checkTime = 30 * time.Second
+	_anyRev    = math.MaxUint64
+)
+
+// register is a service's revision and floor.
+type register struct {
+	rev   uint64
+	floor int
+}
+
+// request is a read, or a write of a floor over a revision.
+type request struct {
+	write bool
+	match uint64
+	floor int
+}
+
+// response is what a read found, or what a write came to.
+type response struct {
+	conflict bool
+	found    register
+}
+
+// registerModel says which responses a service may give, one after the other.
+var registerModel = porcupine.Model{
+	Init: func() any { return register{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, in, out := state.(register), input.(request), output.(response)
+		switch {
+		case !in.write:
+			return out.found == s, s
+		case out.conflict:
+			return in.match != _anyRev && in.match != s.rev, s
+		default:
+			legal := out.found.rev > s.rev && (in.match == _anyRev || in.match == s.rev)
+			return legal, register{rev: out.found.rev, floor: in.floor}
+		}
+	},
+}
+
+// mesh is a fleet whose control hosts reach each other through relays.
+type mesh struct {
+	*fleet
+	relays map[[2]int]*fakes.Relay // from one host to another
+}
+
+func newMesh(t *testing.T, controls, nodes int) *mesh {
+	m := &mesh{fleet: newFleet(t, controls, nodes), relays: map[[2]int]*fakes.Relay{}}
+	for from := range m.controls {
+		hosts := slices.Clone(m.controls[from].Hosts)
+		for to := range hosts {
+			if from == to {
+				continue
+			}
+			r, err := fakes.StartRelay(t.Context(), m.controls[to].Peer)
+			if err != nil {
+				t.Fatal(err)
+			}
+			m.relays[[2]int{from, to}] = r
+			hosts[to].Addr = r.Addr()
+		}
+		m.controls[from].Hosts = hosts
+	}
+	return m
+}
+
+// cut drops silently what goes from one host to another, and the answers.
+func (m *mesh) cut(from, to int) {
+	m.relays[[2]int{from, to}].Spoil(fakes.Link{Cut: true}, fakes.Link{Cut: true})
+}
+
+func (m *mesh) heal() {
+	for _, r := range m.relays {
+		r.Spoil(fakes.Link{}, fakes.Link{})
+	}
+}
+
+// split parts the first two hosts from the others.
+func (m *mesh) split() {
+	for pair := range m.relays {
+		if pair[0] < 2 != (pair[1] < 2) {
+			m.cut(pair[0], pair[1])
+		}
+	}
+}
+
+// deafen keeps what the others send from reaching a host.
+func (m *mesh) deafen(host int) {
+	for pair := range m.relays {
+		if pair[1] == host {
+			m.cut(pair[0], pair[1])
+		}
+	}
+}
+
+// operator writes and reads one service at one host and keeps the history.
+type operator struct {
+	mesh    *mesh
+	host    int
+	rng     *rand.Rand
+	seen    uint64
+	history []porcupine.Operation
+}
+
+func (o *operator) run(start time.Time, stop <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(o.rng.IntN(20)) * time.Millisecond):
+		}
+		in := request{}
+		if o.rng.IntN(2) == 0 {
+			in = request{write: true, match: _anyRev, floor: o.host + 10*n}
+		}
+		if in.write && o.rng.IntN(2) == 0 {
+			in.match = o.seen
+		}
+		call := time.Since(start)
+		out, known := o.do(in, fmt.Sprint("h", o.host, "-", n))
+		if !known {
+			continue
+		}
+		if !out.conflict {
+			o.seen = out.found.rev
+		}
+		o.history = append(o.history, porcupine.Operation{
+			ClientId: o.host, Input: in, Call: int64(call), Output: out, Return: int64(time.Since(start)),
+		})
+	}
+}
+
+// do returns what a request came to, or false if it was refused: it must have
+// had no effect then. A write whose outcome is unknown is sent again, at
+// another host each time, until it is known.
+func (o *operator) do(in request, id string) (response, bool) {
+	if !in.write {
+		v, err := o.mesh.service(o.host, "lookup")
+		return response{found: register{rev: v.Rev, floor: v.Service.Floor}}, err == nil
+	}
+	match := "*"
+	if in.match != _anyRev {
+		match = strconv.FormatUint(in.match, 10)
+	}
+	for try, first := 0, true; ; try++ {
+		host := (o.host + try) % len(o.mesh.controls)
+		status, body, err := o.mesh.write(host, lookup().WithFloor(in.floor), match, id)
+		var written struct{ Rev uint64 }
+		switch {
+		case err == nil && status == http.StatusOK && unmarshal(body, &written) == nil:
+			return response{found: register{rev: written.Rev}}, true
+		case err == nil && status == http.StatusPreconditionFailed:
+			return response{conflict: true}, true
+		case err == nil && status == http.StatusServiceUnavailable && first:
+			return response{}, false
+		}
+		first = false
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestHistory lets operators race at four control hosts through an even split,
+// a leader that hears nobody, a killed and a frozen leader: what they were told
+// is linearizable.
+func TestHistory(t *testing.T) {
+	const seed = 7
+	m := newMesh(t, 4, 1)
+	m.startAll()
+	m.awaitVoters(0, 4)
+	m.put(0, lookup().WithFloor(0), "first")
+	first, err := m.service(0, "lookup")
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var operators []*operator
+	for host := range m.controls {
+		o := &operator{mesh: m, host: host, rng: rand.New(rand.NewPCG(seed, uint64(host)))}
+		operators = append(operators, o)
+		wg.Go(func() { o.run(start, stop) })
+	}
+	m.suffer()
+	close(stop)
+	wg.Wait()
+	history := []porcupine.Operation{{
+		Input: request{write: true, match: _anyRev}, Call: -2, Return: -1,
+		Output: response{found: register{rev: first.Rev}},
+	}}
+	writes := 0
+	for _, o := range operators {
+		history = append(history, o.history...)
+		for _, op := range o.history {
+			if op.Input.(request).write && !op.Output.(response).conflict {
+				writes++
+			}
+		}
+	}
+	t.Logf("%d operations, %d writes took effect", len(history), writes)
+	if result := porcupine.CheckOperationsTimeout(registerModel, history, _checkTime); result != porcupine.Ok {
+		t.Errorf("the history is %v", result)
+	}
+	if writes < 20 {
+		t.Errorf("only %d writes took effect", writes)
+	}
+}
+
+// suffer brings about one failure after the other.
+func (m *mesh) suffer() {
+	const pause = 2 * time.Second
+	time.Sleep(pause / 4)
+	m.split()
+	time.Sleep(pause)
+	m.heal()
+	time.Sleep(pause)
+	m.deafen(m.leader(0))
+	time.Sleep(pause)
+	m.heal()
+	time.Sleep(pause)
+	old := m.leader(0)
+	m.kill(m.controls[old].Name)
+	time.Sleep(pause)
+	m.startControl(old)
+	time.Sleep(pause)
+	frozen := m.procs[m.controls[m.leader(0)].Name].Process
+	_ = frozen.Signal(syscall.SIGSTOP)
+	time.Sleep(pause)
+	_ = frozen.Signal(syscall.SIGCONT)
+	time.Sleep(pause)
+}
+
+// TestEvenSplit parts four voters two and two: neither side takes a write or
+// answers for the present.
+func TestEvenSplit(t *testing.T) {
+	m := newMesh(t, 4, 1)
+	m.startAll()
+	m.awaitVoters(0, 4)
+	m.put(0, lookup(), "first")
+	m.split()
+	m.eventually("no leader", func() error {
+		for host := range m.controls {
+			var v view.Versioned
+			if err := m.get(host, "/v1/services/lookup", &v); err == nil {
+				return fmt.Errorf("host %d still answers for the present", host)
+			}
+		}
+		return nil
+	})
+	var sides sync.WaitGroup
+	for host := range m.controls {
+		sides.Go(func() {
+			if status, body, err := m.write(host, lookup().WithFloor(host), "*", fmt.Sprint("w", host)); err == nil && status != http.StatusServiceUnavailable {
+				t.Errorf("host %d: status %d: %s", host, status, body)
+			}
+		})
+	}
+	sides.Wait()
+	m.heal()
+	m.put(0, lookup().WithFloor(0), "last")
+}
