Count slow requests whose callers gave up

Cause: an owner dropped every cancelled request from its evidence.

Change: a cancelled request that was slow already counts as slow; an early one counts as nothing. Both settings then ask within 40 such requests.

Ruled out: counting every cancel as a failure (callers leave for reasons of their own). TestCancelled failed with the message ignored.

--- a/judge/judge.go
+++ b/judge/judge.go
@@ -110,6 +110,8 @@
 	switch msg := msg.(type) {
 	case WorkMsg:
 		return m.work(msg).ask(msg.At)
+	case CancelMsg:
+		return m.cancelled(msg).ask(msg.At)
 	case StallMsg:
 		m.worked = msg.At
 		m.failures = m.failures.add(_failureOdds, true, m.most())
@@ -132,14 +134,33 @@
 	}
 	m.worked = msg.At
 	m.failures = m.failures.add(_failureOdds, msg.Failed, m.most())
-	fresh := m.median > 0 && msg.At < m.hinted+_hintLife
-	if fresh && !msg.Failed && msg.At >= m.cfg.Warm {
-		limit := max(time.Duration(_slowFactor*float64(m.median)), m.median+_slowMargin)
+	if limit, known := m.slowLimit(msg.At); known && !msg.Failed {
 		m.slow = m.slow.add(_slowOdds, msg.Took > limit, m.most())
 	}
 	return m
 }
 
+// cancelled counts a request as slow that was slow already when its caller
+// gave up: else a straggler whose callers are impatient would show nothing.
+func (m Model) cancelled(msg CancelMsg) Model {
+	limit, known := m.slowLimit(msg.At)
+	if m.ejected || !known || msg.Ran <= limit {
+		return m
+	}
+	m.worked = msg.At
+	m.slow = m.slow.add(_slowOdds, true, m.most())
+	return m
+}
+
+// slowLimit returns the time beyond which a request counts as slow, or false
+// while nothing can be compared.
+func (m Model) slowLimit(at time.Duration) (time.Duration, bool) {
+	if m.median == 0 || at >= m.hinted+_hintLife || at < m.cfg.Warm {
+		return 0, false
+	}
+	return max(time.Duration(_slowFactor*float64(m.median)), m.median+_slowMargin), true
+}
+
 // ask wants an ejection, but not for a cause that most instances share.
 func (m Model) ask(at time.Duration) (Model, []Cmd) {
 	reason, sick := m.reason()
--- /dev/null
+++ b/judge/judge_test.go
@@ -0,0 +1,50 @@
+package judge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/spec"
+)
+
+const (
+	_median = 20 * time.Millisecond
+	_gap    = 50 * time.Millisecond
+)
+
+// asks feeds requests that callers cancelled until the detector wants an
+// ejection, and returns how many that took, or 0.
+func asks(p spec.Patience, ran time.Duration, most int) int {
+	m := New(Config{Patience: p})
+	for n := 1; n <= most; n++ {
+		at := time.Duration(n) * _gap
+		m, _ = m.Update(HintMsg{At: at, Median: _median})
+		var cmds []Cmd
+		m, cmds = m.Update(CancelMsg{At: at, Ran: ran})
+		if len(cmds) > 0 {
+			return n
+		}
+	}
+	return 0
+}
+
+// TestCancelled finds a straggler whose callers always give up, and leaves an
+// instance alone whose callers leave early.
+func TestCancelled(t *testing.T) {
+	cases := []struct {
+		name     string
+		patience spec.Patience
+		ran      time.Duration
+		found    bool
+	}{
+		{"quick, straggler", spec.Quick, 4 * _median, true},
+		{"sure, straggler", spec.Sure, 4 * _median, true},
+		{"quick, early", spec.Quick, 2 * _median, false},
+		{"sure, early", spec.Sure, _median, false},
+	}
+	for _, c := range cases {
+		if n := asks(c.patience, c.ran, 40); n > 0 != c.found {
+			t.Errorf("%s: asked after %d cancelled requests", c.name, n)
+		}
+	}
+}
--- a/judge/messages.go
+++ b/judge/messages.go
@@ -12,6 +12,12 @@
 	Failed bool
 }
 
+// CancelMsg is one request whose caller gave up after it had run for a time.
+type CancelMsg struct {
+	At  time.Duration
+	Ran time.Duration
+}
+
 // StallMsg says that a running request has passed the stall limit once more.
 type StallMsg struct{ At time.Duration }
 
@@ -37,12 +43,13 @@
 // ClockMsg tells the time.
 type ClockMsg struct{ At time.Duration }
 
-func (WorkMsg) judgeMsg()  {}
-func (StallMsg) judgeMsg() {}
-func (HintMsg) judgeMsg()  {}
-func (GrantMsg) judgeMsg() {}
-func (DenyMsg) judgeMsg()  {}
-func (ClockMsg) judgeMsg() {}
+func (WorkMsg) judgeMsg()   {}
+func (CancelMsg) judgeMsg() {}
+func (StallMsg) judgeMsg()  {}
+func (HintMsg) judgeMsg()   {}
+func (GrantMsg) judgeMsg()  {}
+func (DenyMsg) judgeMsg()   {}
+func (ClockMsg) judgeMsg()  {}
 
 // Cmd is what the detector decided.
 type Cmd interface{ judgeCmd() }
--- a/node/detect.go
+++ b/node/detect.go
@@ -68,6 +68,7 @@
 	}
 	delete(b.running, ref)
 	if outcome == workCancelled {
+		s.judgeLocked(b, judge.CancelMsg{At: s.now(), Ran: s.now() - since})
 		return
 	}
 	s.judgeLocked(b, judge.WorkMsg{At: s.now(), Took: s.now() - since, Failed: outcome == workFailed})
