Send a late idempotent request to a second instance

Change: after three times the median (15 ms past it at the least) an idempotent request goes to another instance as well, once, within the budget of retries; the first good answer wins and the other attempt is cancelled at its owner. That time lies past the one at which owners count slow requests, so hedging hides no straggler.

Given-up attempts stay out of the median now (TestGivenUp). A caller that leaves before there is a connection no longer makes its ingress avoid the owner for 2 s.

--- a/node/attempt.go
+++ b/node/attempt.go
@@ -5,15 +5,20 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/damaskpitch/damaskpitch/ledger"
 	"github.com/damaskpitch/damaskpitch/proto"
 	"github.com/damaskpitch/damaskpitch/retry"
 	"github.com/damaskpitch/damaskpitch/route"
+	"github.com/damaskpitch/damaskpitch/trip"
+	"github.com/damaskpitch/damaskpitch/view"
 )
 
 // result is what one attempt came to.
@@ -25,10 +30,13 @@
 	choice   route.Choice
 	hint     route.Hint
 	started  time.Time
+	ctx      context.Context //nolint:containedctx // ends with the attempt
 	cancel   context.CancelFunc
 	sent     bool         // any of it may have left this process
 	copies   atomic.Int32 // how often the transport sent it
 	free     bool         // a retry costs no budget
+	again    bool         // the instance may be tried again
+	beaten   atomic.Bool  // by another attempt; its end tells nothing
 }
 
 // discard closes what the attempt still holds open.
@@ -44,9 +52,32 @@
 	}
 }
 
-// try sends the request to one instance by way of its owner; it reports
-// whether there was one.
+// try sends the request to one instance by way of its owner, and perhaps to a
+// second one; it reports whether there was one.
 func (e *exchange) try(ctx context.Context) (*result, bool) {
+	res, ok := e.begin(ctx)
+	if !ok {
+		return nil, false
+	}
+	if after, ok := e.hedgeAfter(res); ok {
+		return e.race(ctx, res, after), true
+	}
+	e.send(e.trip, res)
+	e.fold(res)
+	return res, true
+}
+
+func (e *exchange) hedgeAfter(res *result) (time.Duration, bool) {
+	return retry.HedgeAfter(retry.Attempt{
+		Once:       e.match.Route.Once,
+		Replayable: e.replayable(),
+		Tries:      e.trip.Tries(),
+		Left:       time.Until(e.deadline),
+	}, res.hint.Median)
+}
+
+// begin chooses the instance for one attempt.
+func (e *exchange) begin(ctx context.Context) (*result, bool) {
 	s := e.server
 	seq := s.seq.Add(1)
 	choice, hint, ok := e.choose(seq)
@@ -62,8 +93,10 @@
 		hint:    hint,
 		started: time.Now(),
 	}
-	e.send(ctx, res)
-	e.note(res)
+	if e.replayable() {
+		e.digest()
+	}
+	res.ctx, res.cancel = context.WithCancel(ctx)
 	return res, true
 }
 
@@ -82,13 +115,13 @@
 	return choice, route.HintOf(e.service.pool, e.service.book), true
 }
 
-// send makes the round trip.
-func (e *exchange) send(ctx context.Context, res *result) {
-	ctx, res.cancel = context.WithCancel(ctx)
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+// send makes the round trip; it changes nothing but the result, as another
+// attempt may run beside it.
+func (e *exchange) send(model trip.Model, res *result) {
+	traced := httptrace.WithClientTrace(res.ctx, &httptrace.ClientTrace{
 		WroteHeaders: func() { res.copies.Add(1) },
 	})
-	watch := e.watchSilence(ctx, res)
+	watch := e.watchSilence(res.ctx, model, res)
 	transport := e.server.paths.transport(res.choice.Candidate.Addr)
 	response, err := transport.RoundTrip(e.request(traced, res)) //nolint:bodyclose // the result owns it
 	gaveUp, again := watch.stop()
@@ -100,17 +133,32 @@
 		}
 		if !res.sent {
 			res.reason = "no connection"
-			e.blockPath(res)
 		}
-		if again {
-			e.tried = e.tried[:len(e.tried)-1]
+		// Who cancels before there is a connection has seen nothing of the path.
+		if !res.sent && !errors.Is(res.ctx.Err(), context.Canceled) {
+			e.blockPath(res)
 		}
+		res.again = again
 		return
 	}
 	res.response = response
 	e.read(res)
 }
 
+// fold takes what an attempt came to into the request.
+func (e *exchange) fold(res *result) {
+	if res.again {
+		e.tried = slices.DeleteFunc(e.tried, func(k view.Key) bool { return k == res.choice.Candidate.Key })
+	}
+	if strings.Contains(res.reason, _reasonCrash) {
+		e.crashes++
+		if e.crashes == _mostCrashes {
+			e.server.fleet.hold(e.digest())
+		}
+	}
+	e.note(res)
+}
+
 // read takes the owner's word from the answer's header.
 func (e *exchange) read(res *result) {
 	header := res.response.Header
@@ -120,19 +168,13 @@
 		return
 	}
 	res.reason = header.Get(HeaderReason)
-	if strings.Contains(res.reason, _reasonCrash) {
-		e.crashes++
-		if e.crashes == _mostCrashes {
-			e.server.fleet.hold(e.digest())
-		}
-	}
 	switch fate := retry.Fate(header.Get(_headerFate)); fate {
 	case retry.Ran, retry.NotRun:
 		res.fate = fate
 	}
 	if res.reason == _reasonEpoch {
 		res.free = true
-		e.tried = e.tried[:len(e.tried)-1]
+		res.again = true
 		e.learnEpoch(res)
 	}
 }
@@ -213,6 +255,10 @@
 	defer e.service.mu.Unlock()
 	e.service.book.Change(res.choice.Candidate.Key, func(l *route.Load) {
 		l.Sent--
+		if res.beaten.Load() {
+			*l = l.WithAtLeast(took)
+			return
+		}
 		l.Failing = res.fate != retry.Ran && res.fate != retry.NotRun || failedStatus(res.response)
 		if res.response == nil {
 			return
--- a/node/silence.go
+++ b/node/silence.go
@@ -25,10 +25,8 @@
 
 // watchSilence asks the owner, over a new connection, about an attempt that
 // stays without an answer.
-func (e *exchange) watchSilence(ctx context.Context, res *result) *silence {
+func (e *exchange) watchSilence(ctx context.Context, model trip.Model, res *result) *silence {
 	w := &silence{}
-	// The request's own loop may move the model on while an answer is awaited.
-	model := e.trip
 	patience := max(_silentLeast, _silentFactor*res.choice.Load.Took)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/node/stats.go
+++ b/node/stats.go
@@ -7,6 +7,7 @@
 	requests  tally.Counter
 	attempts  tally.Counter
 	retries   tally.Counter
+	hedges    tally.Counter
 	refused   tally.Counter
 	unknown   tally.Counter
 	broken    tally.Counter
@@ -23,6 +24,7 @@
 		requests:  scope.Counter("requests"),
 		attempts:  scope.Counter("attempts"),
 		retries:   scope.Counter("retries"),
+		hedges:    scope.Counter("hedges"),
 		refused:   scope.Counter("refused"),
 		unknown:   scope.Counter("unknown"),
 		broken:    scope.Counter("broken"),
--- a/route/load.go
+++ b/route/load.go
@@ -79,6 +79,15 @@
 	b.suspects = slices.DeleteFunc(b.suspects, gone)
 }
 
+// WithAtLeast returns the load after a request that was given up after a time:
+// it would have taken longer. The latest time stays, as nothing was answered.
+func (l Load) WithAtLeast(ran time.Duration) Load {
+	if ran > l.Took {
+		l.Took += time.Duration(_smooth * float64(ran-l.Took))
+	}
+	return l
+}
+
 // WithTook returns the load with one more measured time.
 func (l Load) WithTook(took time.Duration) Load {
 	l.Last = took
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -169,3 +169,24 @@
 		HintOf(p, book)
 	}
 }
+
+// TestGivenUp keeps attempts that were given up out of the median: their
+// times grow with what the median lets a request wait.
+func TestGivenUp(t *testing.T) {
+	b := NewBook()
+	keys := []view.Key{{Node: "n", ID: "a"}, {Node: "n", ID: "b"}}
+	p := Pool{}
+	for _, k := range keys {
+		p.Candidates = append(p.Candidates, Candidate{Key: k})
+		b.Change(k, func(l *Load) { *l = l.WithTook(time.Millisecond) })
+	}
+	for range 20 {
+		b.Change(keys[0], func(l *Load) { *l = l.WithAtLeast(3*HintOf(p, b).Median + 15*time.Millisecond) })
+	}
+	if got := HintOf(p, b).Median; got != time.Millisecond {
+		t.Errorf("the median went from 1ms to %v", got)
+	}
+	if b.Load(keys[0]).Took <= b.Load(keys[1]).Took {
+		t.Error("the instance that was given up looks as quick as the other")
+	}
+}
--- a/trip/messages.go
+++ b/trip/messages.go
@@ -53,6 +53,9 @@
 	Left   time.Duration
 }
 
+// LateMsg says that the running attempt's answer is late.
+type LateMsg struct{}
+
 // FateMsg is the owner's word on an attempt after it was revoked; Known is
 // false when none came.
 type FateMsg struct {
@@ -75,6 +78,7 @@
 }
 
 func (BeginMsg) tripMsg()   {}
+func (LateMsg) tripMsg()    {}
 func (ClaimedMsg) tripMsg() {}
 func (AnswerMsg) tripMsg()  {}
 func (LostMsg) tripMsg()    {}
@@ -96,6 +100,10 @@
 	Free  bool
 }
 
+// HedgeCmd sends the request to another instance as well, if the budget allows
+// it.
+type HedgeCmd struct{}
+
 // RevokeCmd asks the owner what became of the last attempt, and forbids it.
 type RevokeCmd struct{}
 
@@ -130,6 +138,7 @@
 type ForbidCmd struct{}
 
 func (ClaimCmd) tripCmd()   {}
+func (HedgeCmd) tripCmd()   {}
 func (AttemptCmd) tripCmd() {}
 func (RevokeCmd) tripCmd()  {}
 func (GiveUpCmd) tripCmd()  {}
--- a/trip/trip.go
+++ b/trip/trip.go
@@ -28,6 +28,7 @@
 	cfg     Config
 	claimed bool
 	unsure  bool // an earlier attempt may have run
+	hedged  bool
 	tries   int
 	fate    retry.Fate
 	reason  string
@@ -56,6 +57,8 @@
 		return m.onLost(msg)
 	case FateMsg:
 		return m.onFate(msg)
+	case LateMsg:
+		return m.late()
 	case NoneMsg:
 		return m.none()
 	case DeniedMsg:
@@ -126,6 +129,16 @@
 	return m.decide(msg.Left, false)
 }
 
+// late sends an idempotent request a second time, once.
+func (m Model) late() (Model, []Cmd) {
+	if m.cfg.Once || !m.cfg.Replayable || m.hedged {
+		return m, nil
+	}
+	m.hedged = true
+	m.tries++
+	return m, []Cmd{HedgeCmd{}}
+}
+
 func (m Model) none() (Model, []Cmd) {
 	if m.tries == 1 {
 		m.fate, m.reason = retry.NotRun, "no instance"
