Lose questions as well as answers; attempt what a stale ingress would

The renewals' trial lost only the answers of control hosts, and a server that left was only asked by ingresses that knew.

--- a/trials/claims_test.go
+++ b/trials/claims_test.go
@@ -8,9 +8,9 @@
 	"github.com/damaskpitch/damaskpitch/fakes"
 )
 
-// TestRunsOnceWithoutControl kills the leader and loses the answers of control
-// hosts to one node, while callers resend renewals under their keys at both
-// nodes: none runs twice.
+// TestRunsOnceWithoutControl kills the leader and loses, in turns, the answers
+// of control hosts to one node and its questions to them, while callers resend
+// renewals under their keys at both nodes: none runs twice.
 func TestRunsOnceWithoutControl(t *testing.T) {
 	f := newFleet(t, 3, 2)
 	var relays []*fakes.Relay
@@ -37,10 +37,16 @@
 	for n := range 8 {
 		callers.Go(func() { f.renewAll(n, stop) })
 	}
-	for round := range 3 {
+	lost := []struct{ there, back fakes.Link }{
+		{back: fakes.Link{Cut: true}},
+		{there: fakes.Link{Cut: true}},
+		{back: fakes.Link{Cut: true}},
+		{there: fakes.Link{Cut: true}},
+	}
+	for round, links := range lost {
 		time.Sleep(time.Second)
 		for _, r := range relays {
-			r.Spoil(fakes.Link{}, fakes.Link{Cut: true})
+			r.Spoil(links.there, links.back)
 		}
 		leader := f.leader(round % 3)
 		f.kill(f.controls[leader].Name)
--- a/trials/stops_test.go
+++ b/trials/stops_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -13,6 +15,7 @@
 	"time"
 
 	"github.com/damaskpitch/damaskpitch/fakes"
+	"github.com/damaskpitch/damaskpitch/view"
 )
 
 // load keeps callers and downloads busy until it is ended.
@@ -174,3 +177,49 @@
 		}
 	}
 }
+
+// TestLeftForGood sends an attempt to a server that has left the way an
+// ingress with an old view would, straight to the owner: it is refused, with
+// the proof that it did not run.
+func TestLeftForGood(t *testing.T) {
+	f, a, _ := ready(t)
+	hosts, err := f.members()
+	if err != nil {
+		t.Fatal(err)
+	}
+	owner := hosts[slices.IndexFunc(hosts, func(h view.Host) bool { return h.Member.Node == f.nodes[0].Name })]
+	attempt := func(seq int) (int, http.Header) {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+owner.Member.Addr+"/check/late", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Damaskpitch-Secret", _key)
+		r.Header.Set("Damaskpitch-Attempt", fmt.Sprintf("stranger.1.%d", seq))
+		r.Header.Set("Damaskpitch-Owner", strconv.FormatUint(owner.Member.Epoch, 10))
+		r.Header.Set("Damaskpitch-Instance", "lookup-1")
+		r.Header.Set("Damaskpitch-Left", "1000")
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		return response.StatusCode, response.Header
+	}
+	if status, header := attempt(1); status != http.StatusOK {
+		t.Fatalf("before it leaves: status %d, %v", status, header)
+	}
+	if err := a.Leave(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(lookup().Grace.Std() + 200*time.Millisecond)
+	before := a.Count()
+	for seq := range 20 {
+		status, header := attempt(2 + seq)
+		if status != http.StatusServiceUnavailable || header.Get("Damaskpitch-Fate") != "notrun" {
+			t.Fatalf("after the grace: status %d, %v", status, header)
+		}
+	}
+	if after := a.Count(); after != before {
+		t.Errorf("%d attempts reached a server that had left", after-before)
+	}
+}
