Keep the fleet's first number

Cause: a leader that has not applied its log yet sees a fleet without a number and gives it one. The second number replaced the first, and nodes then refuse every control host as another fleet's. A restart of all hosts could do that; it was rarer while the leader's first turn came a second after its election.

Change: the state keeps the first number. TestFoundOnce failed first (fleet 8, want 7).

--- a/store/store.go
+++ b/store/store.go
@@ -101,8 +101,7 @@
 	}
 	switch c := e.Command.(type) {
 	case Found:
-		m.emit(view.Founded{Cluster: c.Cluster, Groups: c.Groups})
-		return m, Written{Rev: m.index}
+		return m, m.found(c)
 	case PutService:
 		return m.once(c.Request, func() Result { return m.putService(c) })
 	case DropService:
@@ -131,6 +130,16 @@
 	return m, Written{Rev: m.index}
 }
 
+// found takes the first number that a leader gives the fleet; a later leader
+// may not have applied it yet when it gives another.
+func (m *Model) found(c Found) Result {
+	if m.view.Cluster != 0 {
+		return Stale{}
+	}
+	m.emit(view.Founded{Cluster: c.Cluster, Groups: c.Groups})
+	return Written{Rev: m.index}
+}
+
 // once gives an operator's resend the first result.
 func (m Model) once(request string, run func() Result) (Model, Result) {
 	if request == "" {
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -183,3 +183,13 @@
 	}
 	b.ReportMetric(float64(size)/199500, "bytes/instance")
 }
+
+// TestFoundOnce keeps a fleet's number: a leader that has not applied its log
+// yet may ask for another one.
+func TestFoundOnce(t *testing.T) {
+	m := New(Config{})
+	feed(&m, Found{Cluster: 7, Groups: 4}, Found{Cluster: 8, Groups: 5})
+	if v := m.View(); v.Cluster != 7 || v.Groups != 4 || v.Rev != 1 {
+		t.Errorf("fleet %d with %d groups at revision %d", v.Cluster, v.Groups, v.Rev)
+	}
+}
