Let a fleet go on from one surviving data folder

Cause: a lost majority left a fleet without a way back; README and operators' page said so.

Change: damaskpitch rescue makes a stopped host the only voter of the groups named, with a term above all that it saw.

Ruled out: doing so by itself after a time (a partition looks the same).

--- a/cmd/damaskpitch/main.go
+++ b/cmd/damaskpitch/main.go
@@ -52,7 +52,7 @@
 		Description:           "Exit codes: 0 done, 1 failed, 2 wrong settings or usage.",
 		Version:               version,
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{controlCommand(), nodeCommand(), ctlCommand(), backendCommand(), devCommand()},
+		Commands:              []*cli.Command{controlCommand(), nodeCommand(), ctlCommand(), rescueCommand(), backendCommand(), devCommand()},
 	}
 }
 
--- a/cmd/damaskpitch/main_test.go
+++ b/cmd/damaskpitch/main_test.go
@@ -18,6 +18,7 @@
 		"help-node":    {"damaskpitch", "node", "--help"},
 		"help-ctl":     {"damaskpitch", "ctl", "--help"},
 		"help-dev":     {"damaskpitch", "dev", "--help"},
+		"help-rescue":  {"damaskpitch", "rescue", "--help"},
 	} {
 		var out bytes.Buffer
 		app := newApp()
@@ -43,6 +44,7 @@
 		{[]string{"damaskpitch", "ctl", "apply"}, _exitInvalid},
 		{[]string{"damaskpitch", "ctl", "apply", bad}, _exitInvalid},
 		{[]string{"damaskpitch", "node", "--config", bad}, _exitInvalid},
+		{[]string{"damaskpitch", "rescue", "--config", bad, "--group", "0"}, _exitInvalid},
 		{[]string{"damaskpitch", "control", "--config", bad, "--check"}, _exitInvalid},
 		{[]string{"damaskpitch", "ctl", "apply", "missing.yaml"}, _exitFailed},
 		{[]string{"damaskpitch", "node", "--config", "missing.yaml"}, _exitFailed},
