Blame no backend server for its callers' pace

Cause: an owner timed each request from its start to the last byte that the caller took. A slow download counted as a stall, which is a failure, every 500 ms (quick), and as a slow request at its end; a slow upload the same; and a fast download that lasts long counted as stalled all along.

Change: a watch runs while a request waits for its instance and stands still while it waits for its caller; a stall is a time without progress; a request counts as slow by the time until its answer begins, which is what the median compares. A deadline that the caller used up is a cancel.

Ruled out: longer stall limits (detection of a hang pays for them); judging only requests without bodies (downloads are what the register service does).

Not covered: a server that sends its bodies slowly without a gap as long as the stall limit.

--- a/fakes/backend.go
+++ b/fakes/backend.go
@@ -20,9 +20,12 @@
 	_announceEvery = time.Second
 	_lease         = "5s"
 	_blobSize      = 1 << 20
+	_largeSize     = 32 << 20
 
 	// _deadly is in the path of a request that crashes its backend server.
 	_deadly = "deadly"
+	// _large is in the path of a download that fills every buffer on its way.
+	_large = "large"
 )
 
 // Behaviour is how a backend server treats its next requests.
@@ -253,7 +256,11 @@
 // a path.
 func Blob(path string) []byte {
 	line := []byte(path + "\n")
-	return bytes.Repeat(line, _blobSize/len(line)+1)[:_blobSize]
+	size := _blobSize
+	if strings.Contains(path, _large) {
+		size = _largeSize
+	}
+	return bytes.Repeat(line, size/len(line)+1)[:size]
 }
 
 func (b *Backend) serveBlob(w http.ResponseWriter, r *http.Request, fault Fault) {
--- a/node/backend.go
+++ b/node/backend.go
@@ -32,13 +32,6 @@
 	transport *http.Transport
 }
 
-// work is one request that an instance runs.
-type work struct {
-	print  uint64
-	since  time.Duration
-	stalls time.Duration // when it counts as a stall the next time
-}
-
 // announce takes a backend server's announcement or renewal.
 func (s *Server) announce(i view.Instance, lease time.Duration) {
 	limits, patience := s.limits(i.Service)
--- a/node/detect.go
+++ b/node/detect.go
@@ -34,24 +34,29 @@
 	workCancelled
 )
 
-// outcomeOf blames the instance unless the caller's side ended the request.
-func outcomeOf(ctx context.Context, err error) workOutcome {
+// outcomeOf blames the instance unless the caller's side ended the request, or
+// used up its time.
+func outcomeOf(ctx context.Context, err error, w *work) workOutcome {
 	if errors.Is(ctx.Err(), context.Canceled) && errors.Is(err, context.Canceled) {
 		return workCancelled
 	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && w.callersFault() {
+		return workCancelled
+	}
 	return workFailed
 }
 
 // begin puts a started request on the instance's record.
-func (s *Server) begin(id string, ref ledger.Ref, mark uint64) (*http.Transport, string) {
+func (s *Server) begin(id string, ref ledger.Ref, mark uint64) (*http.Transport, string, *work) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.backs[id]
 	if b == nil {
-		return nil, ""
+		return nil, "", nil
 	}
-	b.running[ref] = &work{print: mark, since: s.now(), stalls: s.now() + b.stall(0)}
-	return b.transport, b.instance.Addr
+	w := newWork(mark, b.stall(b.judge.Median()), s.now)
+	b.running[ref] = w
+	return b.transport, b.instance.Addr, w
 }
 
 // end takes a request off the instance's record and judges it.
@@ -62,16 +67,16 @@
 	if b == nil || b.running[ref] == nil {
 		return
 	}
-	since := b.running[ref].since
+	w := b.running[ref]
 	if outcome == workDone {
-		s.aboard.Well(b.running[ref].print, s.now())
+		s.aboard.Well(w.print, s.now())
 	}
 	delete(b.running, ref)
 	if outcome == workCancelled {
-		s.judgeLocked(b, judge.CancelMsg{At: s.now(), Ran: s.now() - since})
+		s.judgeLocked(b, judge.CancelMsg{At: s.now(), Ran: w.instanceTime()})
 		return
 	}
-	s.judgeLocked(b, judge.WorkMsg{At: s.now(), Took: s.now() - since, Failed: outcome == workFailed})
+	s.judgeLocked(b, judge.WorkMsg{At: s.now(), Took: w.instanceTime(), Failed: outcome == workFailed})
 }
 
 // hint takes what an ingress sees of the whole service.
@@ -89,8 +94,7 @@
 	defer s.mu.Unlock()
 	for _, b := range s.backs {
 		for _, w := range b.running {
-			if s.now() >= w.stalls {
-				w.stalls = s.now() + b.stall(b.judge.Median())
+			if w.stalled(b.stall(b.judge.Median())) {
 				s.judgeLocked(b, judge.StallMsg{At: s.now()})
 			}
 		}
--- a/node/owner.go
+++ b/node/owner.go
@@ -175,7 +175,7 @@
 	s := j.server
 	s.stats.started.Inc(1)
 	mark, _ := strconv.ParseUint(j.r.Header.Get(_headerPrint), 16, 64)
-	transport, addr := s.begin(j.id, j.ref, mark)
+	transport, addr, w := s.begin(j.id, j.ref, mark)
 	defer func() { s.tell(gate.DoneMsg{ID: j.id, Ref: j.ref, At: s.now()}) }()
 	if transport == nil {
 		s.notRun(j.w, string(gate.NoInstance))
@@ -185,10 +185,9 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	started := s.now()
-	response, err := transport.RoundTrip(j.request(traced, addr))
+	response, err := transport.RoundTrip(j.request(traced, addr, w))
 	if err != nil {
-		outcome := outcomeOf(ctx, err)
+		outcome := outcomeOf(ctx, err, w)
 		if connected.Load() && outcome == workFailed && s.crashed(ctx, addr) {
 			s.reportCrash(j.id)
 			err = errCrashed
@@ -203,10 +202,11 @@
 		j.unanswered(true, errors.New(reason))
 		return
 	}
-	j.answer(ctx, response, s.now()-started)
+	w.begun()
+	j.answer(ctx, response, w)
 }
 
-func (j *job) request(ctx context.Context, addr string) *http.Request {
+func (j *job) request(ctx context.Context, addr string, w *work) *http.Request {
 	u := *j.r.URL
 	u.Scheme = "http"
 	u.Host = addr
@@ -215,7 +215,7 @@
 		URL:           &u,
 		Host:          j.r.Host,
 		Header:        cleanHeader(j.r.Header),
-		Body:          j.r.Body,
+		Body:          upload{ReadCloser: j.r.Body, work: w},
 		ContentLength: j.r.ContentLength,
 	}
 	if r.ContentLength == 0 {
@@ -240,25 +240,25 @@
 }
 
 // answer streams the instance's answer, or ends the connection in the middle.
-func (j *job) answer(ctx context.Context, response *http.Response, took time.Duration) {
+func (j *job) answer(ctx context.Context, response *http.Response, w *work) {
 	out := j.w.Header()
 	for name, values := range cleanHeader(response.Header) {
 		out[name] = values
 	}
 	out.Set(_headerFate, string(retry.Ran))
-	out.Set(_headerTook, strconv.FormatInt(took.Microseconds(), 10))
+	out.Set(_headerTook, strconv.FormatInt(w.instanceTime().Microseconds(), 10))
 	if response.ContentLength >= 0 {
 		out.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	j.setLoad()
 	j.w.WriteHeader(response.StatusCode)
-	err := stream(j.w, response.Body)
+	err := stream(j.w, response.Body, w)
 	outcome := workDone
 	switch {
 	case errors.Is(err, errCaller):
 		outcome = workCancelled
 	case err != nil:
-		outcome = outcomeOf(ctx, err)
+		outcome = outcomeOf(ctx, err, w)
 	case failedStatus(response):
 		outcome = workFailed
 	}
@@ -272,13 +272,17 @@
 var errCaller = errors.New("caller went away")
 
 // stream copies an answer as it comes.
-func stream(w http.ResponseWriter, body io.Reader) error {
+func stream(w http.ResponseWriter, body io.Reader, running *work) error {
 	buffer := make([]byte, _copyBuffer)
 	flusher := http.NewResponseController(w)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			if _, werr := w.Write(buffer[:n]); werr != nil || flusher.Flush() != nil {
+			wrote := running.writing(func() error {
+				_, werr := w.Write(buffer[:n])
+				return errors.CombineErrors(werr, flusher.Flush())
+			})
+			if wrote != nil {
 				return errCaller
 			}
 		}
--- /dev/null
+++ b/node/work.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"io"
+	"sync"
+	"time"
+)
+
+// stopwatch runs while a request waits for its instance, and stands still
+// while it waits for its caller.
+type stopwatch struct {
+	ran     time.Duration
+	from    time.Duration
+	running bool
+}
+
+func (w stopwatch) start(at time.Duration) stopwatch {
+	if !w.running {
+		w.from = at
+		w.running = true
+	}
+	return w
+}
+
+func (w stopwatch) stop(at time.Duration) stopwatch {
+	w.ran = w.elapsed(at)
+	w.running = false
+	return w
+}
+
+func (w stopwatch) elapsed(at time.Duration) time.Duration {
+	if !w.running {
+		return w.ran
+	}
+	return w.ran + at - w.from
+}
+
+// work is one request that an instance runs.
+type work struct {
+	print uint64
+	since time.Duration
+	now   func() time.Duration
+
+	mu       sync.Mutex
+	watch    stopwatch
+	answered bool          // the answer has begun
+	took     time.Duration // until then
+	stalls   time.Duration // on the watch, when it counts as a stall next
+	patience time.Duration
+}
+
+func newWork(mark uint64, patience time.Duration, now func() time.Duration) *work {
+	return &work{print: mark, since: now(), now: now, watch: stopwatch{}.start(now()), stalls: patience, patience: patience}
+}
+
+// begun notes that the answer begins.
+func (w *work) begun() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := w.now()
+	w.answered = true
+	w.took = w.watch.elapsed(at)
+	w.watch = w.watch.start(at)
+	w.stalls = w.took + w.patience
+}
+
+// instanceTime returns how long the instance took until its answer began, or
+// has taken.
+func (w *work) instanceTime() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.answered {
+		return w.took
+	}
+	return w.watch.elapsed(w.now())
+}
+
+// callersFault reports whether most of the time went by in waiting for the
+// caller.
+func (w *work) callersFault() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := w.now()
+	return w.watch.elapsed(at) < (at-w.since)/2
+}
+
+// stalled reports whether the instance has shown no progress for its patience
+// once more.
+func (w *work) stalled(patience time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.patience = patience
+	elapsed := w.watch.elapsed(w.now())
+	if elapsed < w.stalls {
+		return false
+	}
+	w.stalls = elapsed + patience
+	return true
+}
+
+// writing calls the function, which waits for the caller to take some of the
+// answer.
+func (w *work) writing(write func() error) error {
+	w.mu.Lock()
+	at := w.now()
+	w.watch = w.watch.stop(at)
+	w.stalls = w.watch.ran + w.patience
+	w.mu.Unlock()
+	err := write()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.watch = w.watch.start(w.now())
+	return err
+}
+
+// upload is the caller's body on its way to an instance: time spent waiting
+// for it is not the instance's.
+type upload struct {
+	io.ReadCloser
+	work *work
+}
+
+// Read waits for more of the caller's body.
+func (u upload) Read(p []byte) (int, error) {
+	u.work.wait(true)
+	defer u.work.wait(false)
+	return u.ReadCloser.Read(p)
+}
+
+// wait stops the watch while the caller's body is awaited; once the answer has
+// begun it is the answer that counts.
+func (w *work) wait(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch at := w.now(); {
+	case w.answered:
+	case on:
+		w.watch = w.watch.stop(at)
+	default:
+		w.watch = w.watch.start(at)
+	}
+}
--- /dev/null
+++ b/node/work_test.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"testing"
+	"time"
+)
+
+// TestWork tells whose time a request takes: its instance's or its caller's.
+func TestWork(t *testing.T) {
+	const patience = 500 * time.Millisecond
+	cases := []struct {
+		name     string
+		steps    []workStep
+		took     time.Duration
+		stalls   int
+		blameful bool
+	}{
+		{"quick answer", []workStep{{runs: 10}, {begins: true}}, 10 * time.Millisecond, 0, true},
+		{"no answer", []workStep{{runs: 600}, {runs: 600}}, 1200 * time.Millisecond, 2, true},
+		{"slow upload", []workStep{{uploads: 3000}, {runs: 10}, {begins: true}}, 10 * time.Millisecond, 0, false},
+		{"slow download", []workStep{{runs: 10}, {begins: true}, {writes: 4000}, {writes: 4000}}, 10 * time.Millisecond, 0, false},
+		{"long download", []workStep{{begins: true}, {runs: 300}, {writes: 10}, {runs: 300}, {writes: 10}, {runs: 300}}, 0, 0, true},
+		{"stuck download", []workStep{{begins: true}, {writes: 10}, {runs: 600}, {runs: 600}}, 0, 2, true},
+	}
+	for _, c := range cases {
+		var now time.Duration
+		w := newWork(0, patience, func() time.Duration { return now })
+		stalls := 0
+		for _, s := range c.steps {
+			s.take(w, &now)
+			if w.stalled(patience) {
+				stalls++
+			}
+		}
+		if w.instanceTime() != c.took || stalls != c.stalls || w.callersFault() == c.blameful {
+			t.Errorf("%s: took %v with %d stalls, caller's fault %v", c.name, w.instanceTime(), stalls, w.callersFault())
+		}
+	}
+}
+
+// workStep is one step of a request, in milliseconds.
+type workStep struct {
+	runs, uploads, writes time.Duration
+	begins                bool
+}
+
+func (s workStep) take(w *work, now *time.Duration) {
+	*now += s.runs * time.Millisecond
+	if s.begins {
+		w.begun()
+	}
+	if s.uploads > 0 {
+		w.wait(true)
+		*now += s.uploads * time.Millisecond
+		w.wait(false)
+	}
+	if s.writes > 0 {
+		_ = w.writing(func() error {
+			*now += s.writes * time.Millisecond
+			return nil
+		})
+	}
+}
