--- a/ctrl/post.go
+++ b/ctrl/post.go
@@ -13,6 +13,9 @@
 const (
 	_postQueue   = 1024
 	_postTimeout = 2 * time.Second
+	// _postRate is the slowest link, in bytes a second, that a snapshot may
+	// take.
+	_postRate = 2 << 20
 )
 
 // post sends replication messages, in order for each address; what does not
@@ -63,12 +66,23 @@
 }
 
 func (p *post) mail(addr string, letters []raft.Letter) {
-	ctx, cancel := context.WithTimeout(p.ctx, _postTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, timeoutOf(letters))
 	defer cancel()
 	// A lost message is sent again by the next heartbeat.
 	_, _ = p.client.Call(ctx, addr, proto.Mail{Letters: letters})
 }
 
+// timeoutOf gives a snapshot the time that its size needs.
+func timeoutOf(letters []raft.Letter) time.Duration {
+	size := 0
+	for _, letter := range letters {
+		if install, ok := letter.Body.(raft.Install); ok {
+			size += len(install.Snapshot.Data)
+		}
+	}
+	return _postTimeout + time.Duration(size)*time.Second/_postRate
+}
+
 func collectLetters(first raft.Letter, q <-chan raft.Letter) []raft.Letter {
 	letters := []raft.Letter{first}
 	for len(letters) < _maxBatch {
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -11,6 +11,10 @@
 	_defaultHeartbeat = 100 * time.Millisecond
 	_maxEntries       = 256
 	_window           = 1024 // entries on their way to one follower
+
+	// _installPatience is how many election timeouts a snapshot may take
+	// before it is sent again.
+	_installPatience = 60
 )
 
 // Role is what a replica does at the moment.
@@ -64,7 +68,9 @@
 	next   uint64
 	round  uint64
 	seen   time.Duration
-	loaded time.Duration // when a snapshot was last sent
+	loaded time.Duration // when a snapshot was last sent, or 0
+	sent   uint64        // the round of that
+	missed bool          // a later round was answered without it
 	beaten uint64        // match at the last heartbeat
 }
 
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -144,3 +144,41 @@
 		t.Error(w.broken)
 	}
 }
+
+// TestInstallOnce sends a snapshot that takes long once, and again only when
+// the follower answers later rounds without it.
+func TestInstallOnce(t *testing.T) {
+	state := State{Term: 1, Snapshot: Snapshot{Index: 10, Term: 1, Peers: []Peer{{ID: 1}, {ID: 2, Learner: true}}, Data: []byte("state")}}
+	m := New(Config{ID: 1}, state)
+	at, installs, round := time.Duration(0), 0, uint64(0)
+	run := func(cmds []Cmd) {
+		for _, cmd := range cmds {
+			send, ok := cmd.(SendCmd)
+			if _, install := send.Body.(Install); ok && install {
+				installs++
+			}
+			if a, isAppend := send.Body.(Append); ok && isAppend {
+				round = a.Round
+			}
+		}
+	}
+	tick := func(n int) {
+		for range n {
+			at += _defaultHeartbeat
+			var cmds []Cmd
+			m, cmds = m.Update(TickMsg{At: at})
+			run(cmds)
+		}
+	}
+	tick(100)
+	if m.Role() != Leader || installs != 1 {
+		t.Fatalf("role %v, sent %d times in 10 s without an answer", m.Role(), installs)
+	}
+	var cmds []Cmd
+	m, cmds = m.Update(ReceiveMsg{From: 2, Body: AppendReply{Term: m.Term(), Round: round, OK: true}})
+	run(cmds)
+	tick(2)
+	if installs != 2 {
+		t.Errorf("sent %d times after it was missed", installs)
+	}
+}
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -88,10 +88,10 @@
 	}}}
 }
 
-// install sends the snapshot, at most once an election timeout; beats in
-// between only say that the leader lives.
+// install sends the snapshot, and again once it was missed; beats in between
+// only say that the leader lives.
 func (m *Model) install(p Peer, f *follower, beat bool) []Cmd {
-	waiting := f.loaded > 0 && m.at < f.loaded+m.cfg.Election
+	waiting := f.loaded > 0 && !f.missed && m.at < f.loaded+_installPatience*m.cfg.Election
 	if waiting && !beat {
 		return nil
 	}
@@ -99,6 +99,8 @@
 		return []Cmd{SendCmd{To: p, Body: Append{Term: m.term, Round: m.round}}}
 	}
 	f.loaded = max(m.at, 1)
+	f.sent = m.round
+	f.missed = false
 	return []Cmd{SendCmd{To: p, Body: Install{Term: m.term, Round: m.round, Snapshot: m.log.snapshot}}}
 }
 
@@ -159,6 +161,7 @@
 	}
 	f.seen = m.at
 	f.round = max(f.round, r.Round)
+	f.missed = f.missed || f.loaded > 0 && r.Round > f.sent && r.Match < m.log.snapshot.Index
 	cmds := m.answerReads()
 	if !r.OK {
 		f.next = max(f.match, min(r.Match, m.log.last())) + 1
@@ -166,6 +169,7 @@
 	}
 	if r.Match > f.match {
 		f.match = r.Match
+		f.loaded = 0
 		f.next = max(f.next, f.match+1)
 		cmds = append(cmds, m.commitUp()...)
 	}
--- a/store/freeze_test.go
+++ b/store/freeze_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"reflect"
+	"runtime"
 	"testing"
 	"time"
+
+	"github.com/damaskpitch/damaskpitch/claim"
 )
 
 // claimed returns a model that holds so many claims.
@@ -86,3 +89,23 @@
 		}
 	}
 }
+
+// BenchmarkClaimMemory reports the memory of one settled claim with an answer
+// of 200 bytes.
+func BenchmarkClaimMemory(b *testing.B) {
+	const claims = 100000
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		m := claimed(claims)
+		for n := range claims {
+			answer := claim.Answer{Status: 200, Body: make([]byte, 200)}
+			feed(&m, Settle{Key: fmt.Sprint("k", n), Holder: "n.1.1", Outcome: claim.Ran, Answer: answer})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(m)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/claims, "bytes/claim")
+}
--- a/trials/groups_test.go
+++ b/trials/groups_test.go
@@ -2,14 +2,24 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
+	"sync"
 	"testing"
+	"time"
 
+	"github.com/damaskpitch/damaskpitch/claim"
 	"github.com/damaskpitch/damaskpitch/config"
 	"github.com/damaskpitch/damaskpitch/ctrl"
 	"github.com/damaskpitch/damaskpitch/place"
+	"github.com/damaskpitch/damaskpitch/proto"
+	"github.com/damaskpitch/damaskpitch/store"
+	"github.com/damaskpitch/damaskpitch/wire"
 )
 
 const (
@@ -172,3 +182,112 @@
 		return nil
 	})
 }
+
+// TestLargeSnapshot replaces a host of a group that keeps many long answers:
+// the blank host gets them all, while claims go on.
+func TestLargeSnapshot(t *testing.T) {
+	const (
+		claims  = 6000
+		callers = 16
+		length  = 16 << 10
+	)
+	f := newFleet(t, 3, 1)
+	for n := range f.controls {
+		f.controls[n].Groups = 1
+	}
+	f.startAll()
+	f.awaitVoters(0, 3)
+	f.eventually("group of keys", func() error { return f.placed(1, []string{"c1", "c2", "c3"}) })
+	var wg sync.WaitGroup
+	for caller := range callers {
+		wg.Go(func() {
+			c := f.claimer(1)
+			defer c.client.Forget()
+			for n := caller; n < claims; n += callers {
+				key := fmt.Sprint("key-", n)
+				c.submit(store.Claim{Key: key, Digest: 1, Holder: "h", TTL: time.Minute})
+				c.submit(store.Settle{Key: key, Holder: "h", Outcome: claim.Ran, Answer: claim.Answer{Status: http.StatusOK, Body: make([]byte, length)}})
+			}
+		})
+	}
+	wg.Wait()
+	old := f.identity(1, "c3")
+	f.kill("c3")
+	if err := os.RemoveAll(f.controls[2].Data); err != nil {
+		t.Fatal(err)
+	}
+	f.startControl(2)
+	f.eventually("repair", func() error {
+		if f.identity(1, "c3") == old {
+			return errors.New("the lost identity still votes")
+		}
+		return f.placed(1, []string{"c1", "c2", "c3"})
+	})
+	f.kill("c1")
+	c := f.claimer(1)
+	defer c.client.Forget()
+	result := c.submit(store.Claim{Key: "key-0", Digest: 1, Holder: "other", TTL: time.Minute})
+	if got, ok := result.(store.Claimed); !ok || got.State != claim.Done || len(got.Answer.Body) != length {
+		t.Errorf("the first answer is %T", result)
+	}
+}
+
+// identity returns what the first host knows another one's data folder by.
+func (f *fleet) identity(group uint32, host string) uint64 {
+	status, err := f.groupStatus(f.controls[0].Name, group)
+	if err != nil {
+		return 0
+	}
+	for _, p := range status.Hosts {
+		if p.Name == host && !p.Learner {
+			return p.ID
+		}
+	}
+	return 0
+}
+
+// claimer submits commands to one group's leader.
+type claimer struct {
+	fleet  *fleet
+	group  uint32
+	client *wire.Client
+	// addr is asked next, and answered was asked last.
+	addr     string
+	answered string
+}
+
+func (f *fleet) claimer(group uint32) *claimer {
+	return &claimer{fleet: f, group: group, client: wire.NewClient(_key, proto.Codec)}
+}
+
+// submit runs a command, as often as it takes.
+func (c *claimer) submit(command store.Command) store.Result {
+	var result store.Result
+	c.fleet.eventually("submit", func() error {
+		for range 3 {
+			reply, err := c.once(command)
+			out, _ := reply.(proto.Outcome)
+			c.addr = out.Leader
+			var ok bool
+			if result, ok = out.Result.(store.Result); ok {
+				c.addr = c.answered
+				return nil
+			}
+			if c.addr == "" {
+				return fmt.Errorf("outcome %+v, %w", out, err)
+			}
+		}
+		return errors.New("sent in a circle")
+	})
+	return result
+}
+
+func (c *claimer) once(command store.Command) (any, error) {
+	if c.addr == "" {
+		c.addr = c.fleet.controls[rand.IntN(len(c.fleet.controls))].Peer
+	}
+	c.answered = c.addr
+	ctx, cancel := context.WithTimeout(c.fleet.t.Context(), 2*time.Second)
+	defer cancel()
+	return c.client.Call(ctx, c.addr, proto.Submit{Group: c.group, Command: command})
+}
