Let the highest ranked host found a group of keys

Cause: with 30 control hosts and 128 groups the host whose name sorts first founded, and so led, every group that it holds (14 of 14 on c1). Change: the first host of a group's ranking founds it; the order of the list does not matter.

--- a/ctrl/boot.go
+++ b/ctrl/boot.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damaskpitch/damaskpitch/place"
 	"github.com/damaskpitch/damaskpitch/proto"
 	"github.com/damaskpitch/damaskpitch/raft"
 	"github.com/damaskpitch/damaskpitch/store"
@@ -40,12 +41,11 @@
 // in.
 func (g *group) mayFound(ctx context.Context) bool {
 	settings := g.server.cfg.Settings
-	may := g.votes()
+	may := place.Founder(g.id, g.server.hosts) == settings.Name
 	for _, h := range g.voters {
 		if h.Name == settings.Name {
 			continue
 		}
-		may = may && settings.Name < h.Name
 		addr := settings.AddrOf(h.Name)
 		greeting, err := g.greet(ctx, addr)
 		if err != nil {
--- a/place/place.go
+++ b/place/place.go
@@ -44,6 +44,19 @@
 	return hosts[:_fleetVoters]
 }
 
+// Founder returns the name of the one host that may found a group, whatever
+// the order of the list; founders lead first, so they are spread as well.
+func Founder(group uint32, hosts []Host) string {
+	voters := Voters(group, hosts)
+	if len(voters) == 0 {
+		return ""
+	}
+	if group != Fleet {
+		return voters[0].Name
+	}
+	return slices.MinFunc(voters, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) }).Name
+}
+
 func spread(group uint32, hosts []Host) []Host {
 	ranked := slices.Clone(hosts)
 	slices.SortFunc(ranked, func(a, b Host) int {
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -99,3 +99,27 @@
 		t.Errorf("%d groups hold keys", len(held))
 	}
 }
+
+// TestFounder names one founder whatever the order of the list, and spreads
+// the founders of 64 groups over 30 hosts.
+func TestFounder(t *testing.T) {
+	list := hosts(30)
+	turned := slices.Clone(list)
+	slices.Reverse(turned)
+	founded := map[string]int{}
+	for group := uint32(1); group <= _groups; group++ {
+		name := Founder(group, list)
+		if other := Founder(group, turned); other != name {
+			t.Errorf("group %d is founded by %s and by %s", group, name, other)
+		}
+		founded[name]++
+	}
+	if name, other := Founder(Fleet, list[:5]), Founder(Fleet, turned[25:]); name != other || name != "c0" {
+		t.Errorf("the fleet is founded by %s and by %s", name, other)
+	}
+	for name, n := range founded {
+		if n > _groups/6 {
+			t.Errorf("%s founds %d of %d groups", name, n, _groups)
+		}
+	}
+}
