--- /dev/null
+++ b/examples/claim/main_test.go
@@ -0,0 +1,8 @@
+package main
+
+func Example() {
+	main()
+	// Output:
+	// first: claim.GrantedCmd
+	// second: done, "permit 41"
+}
--- a/examples/embed/main.go
+++ b/examples/floor/main.go
@@ -1,4 +1,4 @@
-// Command embed drives one coordination part, the floor's arbiter, by hand.
+// Command floor drives the arbiter that keeps a service's floor.
 package main
 
 import (
@@ -16,6 +16,6 @@
 	for _, id := range []string{"a", "b"} {
 		var cmds []floor.Cmd
 		m, cmds = m.Update(floor.EjectMsg{ID: id, At: time.Second, TTL: time.Minute})
-		fmt.Printf("eject %s: %+v, %d healthy\n", id, cmds[0], m.Healthy(time.Second))
+		fmt.Printf("eject %s: %T, %d healthy\n", id, cmds[0], m.Healthy(time.Second))
 	}
 }
--- /dev/null
+++ b/examples/raft/main_test.go
@@ -0,0 +1,7 @@
+package main
+
+func Example() {
+	main()
+	// Output:
+	// committed "hello" at 2
+}
--- a/raft/doc.go
+++ b/raft/doc.go
@@ -2,7 +2,7 @@
 // with pre-vote and check-quorum, learners before voters, and reads that only
 // a leader with a live quorum answers.
 //
-//	m := raft.New(raft.Config{ID: 1}, raft.State{Peers: peers})
+//	m := raft.New(raft.Config{ID: 1}, raft.State{})
 //	m, cmds := m.Update(raft.TickMsg{At: now})
 //
 // The model does no I/O: its caller runs the commands in their order, and a
