--- a/ctrl/group.go
+++ b/ctrl/group.go
@@ -12,7 +12,7 @@
 	"github.com/damaskpitch/damaskpitch/store"
 )
 
-const _tendInterval = 2 * time.Second
+const _maintainInterval = 2 * time.Second
 
 // group is this host's replica of one replication group.
 type group struct {
@@ -31,7 +31,7 @@
 	rc := ReplicaConfig{
 		Group:  id,
 		Disk:   s.disk,
-		Send:   func(to raft.Peer, letter raft.Letter) { s.post.send(s.addrOf(to), letter) },
+		Send:   func(to raft.Peer, envelope raft.Envelope) { s.outbox.send(s.addrOf(to), envelope) },
 		Logger: s.log,
 		Start:  s.start,
 		Store:  stored,
@@ -124,10 +124,10 @@
 	return proto.Outcome{Result: result}
 }
 
-// tend keeps a group of claims in order while this host leads it: it moves the
+// maintain keeps a group of claims in order while this host leads it: it moves the
 // group's log time on, and lets hosts go that hold it no longer.
-func (g *group) tend(ctx context.Context) error {
-	ticker := time.NewTicker(_tendInterval)
+func (g *group) maintain(ctx context.Context) error {
+	ticker := time.NewTicker(_maintainInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -135,13 +135,13 @@
 			return nil
 		case <-ticker.C:
 			if g.leading() {
-				g.tendOnce(ctx)
+				g.maintainOnce(ctx)
 			}
 		}
 	}
 }
 
-func (g *group) tendOnce(ctx context.Context) {
+func (g *group) maintainOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, _apiTimeout)
 	defer cancel()
 	// Without it the next turn does the same.
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -86,7 +86,7 @@
 	case raft.SnapshotCmd:
 		return r.cfg.Disk.Snapshot(r.cfg.Group, cmd)
 	case raft.SendCmd:
-		r.cfg.Send(cmd.To, raft.Letter{Group: r.cfg.Group, From: r.cfg.Raft.ID, To: cmd.To.ID, Body: cmd.Body})
+		r.cfg.Send(cmd.To, raft.Envelope{Group: r.cfg.Group, From: r.cfg.Raft.ID, To: cmd.To.ID, Body: cmd.Body})
 	case raft.ApplyCmd:
 		return r.apply(cmd.Entries)
 	case raft.RestoreCmd:
--- a/ctrl/members.go
+++ b/ctrl/members.go
@@ -14,8 +14,8 @@
 	"github.com/damaskpitch/damaskpitch/view"
 )
 
-// roll is the leader's knowledge of the members; it lives for one term.
-type roll struct {
+// membership is the leader's knowledge of the members; it lives for one term.
+type membership struct {
 	server *Server
 	start  time.Time
 
@@ -29,12 +29,12 @@
 	at  time.Time
 }
 
-func newRoll(s *Server) *roll {
-	return &roll{server: s, start: time.Now(), pulse: pulse.New(pulse.Config{}), held: map[string]held{}}
+func newMembership(s *Server) *membership {
+	return &membership{server: s, start: time.Now(), pulse: pulse.New(pulse.Config{}), held: map[string]held{}}
 }
 
 // reset gives every member a full lease when a term begins.
-func (l *roll) reset(leading bool) {
+func (l *membership) reset(leading bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pulse = pulse.New(pulse.Config{})
@@ -49,7 +49,7 @@
 	})
 }
 
-func (l *roll) beatOf(m view.Member) pulse.BeatMsg {
+func (l *membership) beatOf(m view.Member) pulse.BeatMsg {
 	return pulse.BeatMsg{Node: m.Node, Center: m.Center, Epoch: m.Epoch, At: time.Since(l.start)}
 }
 
@@ -65,12 +65,12 @@
 		known = known && member.Epoch == b.Epoch && b.Digest == view.Digest(m.View().InstancesOf(b.Node))
 	})
 	if member.Epoch == b.Epoch {
-		s.roll.hear(ctx, member, b.Rev)
+		s.membership.hear(ctx, member, b.Rev)
 	}
 	return proto.BeatReply{Known: known, Led: true, Leader: s.cfg.Settings.Peer}
 }
 
-func (l *roll) hear(ctx context.Context, m view.Member, rev uint64) {
+func (l *membership) hear(ctx context.Context, m view.Member, rev uint64) {
 	l.mu.Lock()
 	l.held[m.Node] = held{rev: rev, at: time.Now()}
 	var cmds []pulse.Cmd
@@ -83,7 +83,7 @@
 }
 
 // check looks for silent members.
-func (l *roll) check(ctx context.Context) {
+func (l *membership) check(ctx context.Context) {
 	l.mu.Lock()
 	var cmds []pulse.Cmd
 	l.pulse, cmds = l.pulse.Update(pulse.ClockMsg{At: time.Since(l.start)})
@@ -91,7 +91,7 @@
 	l.run(ctx, cmds)
 }
 
-func (l *roll) run(ctx context.Context, cmds []pulse.Cmd) {
+func (l *membership) run(ctx context.Context, cmds []pulse.Cmd) {
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
 		case pulse.AskCmd:
@@ -107,12 +107,12 @@
 	}
 }
 
-func (l *roll) submit(ctx context.Context, what string, c store.Command) {
+func (l *membership) submit(ctx context.Context, what string, c store.Command) {
 	_, err := l.server.replica.Submit(ctx, c)
 	l.server.log.Info(what, slog.Any("command", c), slog.Any("error", err))
 }
 
-func (l *roll) forget(node string) {
+func (l *membership) forget(node string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pulse, _ = l.pulse.Update(pulse.GoneMsg{Node: node})
@@ -120,7 +120,7 @@
 }
 
 // ask lets one member probe another one.
-func (l *roll) ask(ctx context.Context, cmd pulse.AskCmd) {
+func (l *membership) ask(ctx context.Context, cmd pulse.AskCmd) {
 	var suspect, by view.Member
 	l.server.replica.Read(func(m store.Model) {
 		suspect, _ = m.View().Member(cmd.Node)
@@ -141,7 +141,7 @@
 }
 
 // holding returns which revision each member has in force.
-func (l *roll) holding() []proto.Held {
+func (l *membership) holding() []proto.Held {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	list := make([]proto.Held, 0, len(l.held))
--- a/ctrl/outbox.go
+++ b/ctrl/outbox.go
@@ -11,87 +11,87 @@
 )
 
 const (
-	_postQueue   = 1024
-	_postTimeout = 2 * time.Second
-	// _postRate is the slowest link, in bytes a second, that a snapshot may
+	_outboxQueue = 1024
+	_sendTimeout = 2 * time.Second
+	// _sendRate is the slowest link, in bytes a second, that a snapshot may
 	// take.
-	_postRate = 2 << 20
+	_sendRate = 2 << 20
 )
 
-// post sends replication messages, in order for each address; what does not
+// outbox sends replication messages, in order for each address; what does not
 // fit its queue is dropped, which replication allows for.
-type post struct {
+type outbox struct {
 	client *wire.Client
 	mu     sync.Mutex
-	queues map[string]chan raft.Letter
+	queues map[string]chan raft.Envelope
 	wg     sync.WaitGroup
 	ctx    context.Context //nolint:containedctx // ends with the process
 }
 
-func newPost(ctx context.Context, client *wire.Client) *post {
-	return &post{client: client, queues: map[string]chan raft.Letter{}, ctx: ctx}
+func newOutbox(ctx context.Context, client *wire.Client) *outbox {
+	return &outbox{client: client, queues: map[string]chan raft.Envelope{}, ctx: ctx}
 }
 
-func (p *post) send(addr string, letter raft.Letter) {
+func (o *outbox) send(addr string, envelope raft.Envelope) {
 	if addr == "" {
 		return
 	}
 	select {
-	case p.queue(addr) <- letter:
+	case o.queue(addr) <- envelope:
 	default:
 	}
 }
 
-func (p *post) queue(addr string) chan raft.Letter {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	q, ok := p.queues[addr]
+func (o *outbox) queue(addr string) chan raft.Envelope {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	q, ok := o.queues[addr]
 	if !ok {
-		q = make(chan raft.Letter, _postQueue)
-		p.queues[addr] = q
-		p.wg.Go(func() { p.deliver(addr, q) })
+		q = make(chan raft.Envelope, _outboxQueue)
+		o.queues[addr] = q
+		o.wg.Go(func() { o.deliver(addr, q) })
 	}
 	return q
 }
 
-func (p *post) deliver(addr string, q <-chan raft.Letter) {
+func (o *outbox) deliver(addr string, q <-chan raft.Envelope) {
 	for {
 		select {
-		case <-p.ctx.Done():
+		case <-o.ctx.Done():
 			return
-		case letter := <-q:
-			p.mail(addr, collectLetters(letter, q))
+		case envelope := <-q:
+			o.deliverBatch(addr, collectBatch(envelope, q))
 		}
 	}
 }
 
-func (p *post) mail(addr string, letters []raft.Letter) {
-	ctx, cancel := context.WithTimeout(p.ctx, timeoutOf(letters))
+func (o *outbox) deliverBatch(addr string, batch []raft.Envelope) {
+	ctx, cancel := context.WithTimeout(o.ctx, timeoutOf(batch))
 	defer cancel()
 	// A lost message is sent again by the next heartbeat.
-	_, _ = p.client.Call(ctx, addr, proto.Mail{Letters: letters})
+	_, _ = o.client.Call(ctx, addr, proto.Replicate{Envelopes: batch})
 }
 
 // timeoutOf gives a snapshot the time that its size needs.
-func timeoutOf(letters []raft.Letter) time.Duration {
+func timeoutOf(batch []raft.Envelope) time.Duration {
 	size := 0
-	for _, letter := range letters {
-		if install, ok := letter.Body.(raft.Install); ok {
+	for _, envelope := range batch {
+		if install, ok := envelope.Body.(raft.Install); ok {
 			size += len(install.Snapshot.Data)
 		}
 	}
-	return _postTimeout + time.Duration(size)*time.Second/_postRate
+	return _sendTimeout + time.Duration(size)*time.Second/_sendRate
 }
 
-func collectLetters(first raft.Letter, q <-chan raft.Letter) []raft.Letter {
-	letters := []raft.Letter{first}
-	for len(letters) < _maxBatch {
+func collectBatch(first raft.Envelope, q <-chan raft.Envelope) []raft.Envelope {
+	batch := []raft.Envelope{first}
+	for len(batch) < _maxBatch {
 		select {
-		case letter := <-q:
-			letters = append(letters, letter)
+		case envelope := <-q:
+			batch = append(batch, envelope)
 		default:
-			return letters
+			return batch
 		}
 	}
-	return letters
+	return batch
 }
--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -33,7 +33,7 @@
 type ReplicaConfig struct {
 	Group  uint32
 	Disk   *disk.Disk
-	Send   func(to raft.Peer, letter raft.Letter)
+	Send   func(to raft.Peer, envelope raft.Envelope)
 	Lead   func()
 	Logger *slog.Logger
 	// Start is when the process started; the replicas of one process share it.
--- a/ctrl/rpc.go
+++ b/ctrl/rpc.go
@@ -29,7 +29,7 @@
 
 func (s *Server) handle(ctx context.Context, msg any) (any, error) {
 	switch msg := msg.(type) {
-	case proto.Mail:
+	case proto.Replicate:
 		return proto.Ack{}, s.receive(ctx, msg)
 	case proto.Hello:
 		g, held := s.groups[msg.Group]
@@ -50,18 +50,18 @@
 	case proto.Beat:
 		return s.beat(ctx, msg), nil
 	case proto.Census:
-		return proto.Holding{Nodes: s.roll.holding()}, nil
+		return proto.Holding{Nodes: s.membership.holding()}, nil
 	}
 	return nil, errors.Newf("unexpected message %T", msg)
 }
 
-func (s *Server) receive(ctx context.Context, mail proto.Mail) error {
-	for _, letter := range mail.Letters {
-		g, held := s.groups[letter.Group]
-		if !held || letter.To != s.disk.ID() {
+func (s *Server) receive(ctx context.Context, msg proto.Replicate) error {
+	for _, envelope := range msg.Envelopes {
+		g, held := s.groups[envelope.Group]
+		if !held || envelope.To != s.disk.ID() {
 			continue
 		}
-		if err := g.replica.Tell(ctx, raft.ReceiveMsg{From: letter.From, Body: letter.Body}); err != nil {
+		if err := g.replica.Tell(ctx, raft.ReceiveMsg{From: envelope.From, Body: envelope.Body}); err != nil {
 			return err
 		}
 	}
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -50,14 +50,14 @@
 	fleet   *group
 	replica *Replica // of the fleet's group
 	client  *wire.Client
-	post    *post
-
-	stopPost context.CancelFunc
-	meter    meter.Meter
-	roll     *roll
-	ctx      context.Context //nolint:containedctx // ends with the process
-	leads    chan struct{}
-	turn     atomic.Uint32
+	outbox  *outbox
+
+	stopOutbox context.CancelFunc
+	meter      meter.Meter
+	membership *membership
+	ctx        context.Context //nolint:containedctx // ends with the process
+	leads      chan struct{}
+	turn       atomic.Uint32
 }
 
 // New opens the data folder and returns the daemon.
@@ -81,12 +81,12 @@
 		s.hosts = append(s.hosts, place.Host{Name: h.Name, Center: h.Center})
 	}
 	// Replication goes on until the replicas have handed over.
-	postCtx, stopPost := context.WithCancel(context.WithoutCancel(ctx))
-	s.stopPost = stopPost
-	s.post = newPost(postCtx, s.client)
-	s.roll = newRoll(s)
+	outboxCtx, stopOutbox := context.WithCancel(context.WithoutCancel(ctx))
+	s.stopOutbox = stopOutbox
+	s.outbox = newOutbox(outboxCtx, s.client)
+	s.membership = newMembership(s)
 	if err := s.openGroups(); err != nil {
-		stopPost()
+		stopOutbox()
 		return nil, errors.CombineErrors(err, d.Close())
 	}
 	return s, nil
@@ -137,12 +137,12 @@
 		replica.Go(func() error { return g.replica.Run(replicaCtx) })
 		group.Go(func() error { return g.boot(ctx) })
 		if g != s.fleet {
-			group.Go(func() error { return g.tend(ctx) })
+			group.Go(func() error { return g.maintain(ctx) })
 		}
 	}
 	group.Go(func() error { return s.serve(serveCtx, s.cfg.Settings.Peer, s.peerHandler()) })
 	group.Go(func() error { return s.serve(serveCtx, s.cfg.Settings.API, s.apiHandler()) })
-	group.Go(func() error { return s.govern(ctx) })
+	group.Go(func() error { return s.leaderLoop(ctx) })
 	group.Go(func() error {
 		defer stopServing()
 		return s.watchReplicas(ctx)
@@ -150,8 +150,8 @@
 	err := group.Wait()
 	stopReplica()
 	err = errors.CombineErrors(err, replica.Wait())
-	s.stopPost()
-	s.post.wg.Wait()
+	s.stopOutbox()
+	s.outbox.wg.Wait()
 	s.client.Forget()
 	err = errors.CombineErrors(err, s.meter.Close())
 	return errors.CombineErrors(err, s.disk.Close())
@@ -195,48 +195,6 @@
 	return s.fleet.leading()
 }
 
-// govern does the leader's work: it names the fleet, moves log time on and
-// watches the members.
-func (s *Server) govern(ctx context.Context) error {
-	ticker := time.NewTicker(_clockInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-s.leads:
-			s.roll.reset(s.leading())
-			if s.leading() {
-				s.rule(ctx)
-			}
-		case <-ticker.C:
-			if !s.leading() {
-				continue
-			}
-			s.rule(ctx)
-		}
-	}
-}
-
-// rule does one turn of the leader's work; a turn that cannot finish is cut
-// short, since leadership may have gone.
-func (s *Server) rule(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, _apiTimeout)
-	defer cancel()
-	s.identify(ctx)
-	_, _ = s.replica.Submit(ctx, store.Clock{})
-	s.roll.check(ctx)
-}
-
-// signalLead tells the governing loop that leadership changed; it must never
-// hold up the replica.
-func (s *Server) signalLead() {
-	select {
-	case s.leads <- struct{}{}:
-	default:
-	}
-}
-
 // serve runs one listener until the context ends, and then finishes what is
 // in flight.
 func (s *Server) serve(ctx context.Context, addr string, h http.Handler) error {
--- a/ctrl/status.go
+++ b/ctrl/status.go
@@ -121,7 +121,7 @@
 // census asks the leader which revision each member has in force.
 func (s *Server) census(ctx context.Context) ([]proto.Held, error) {
 	if s.leading() {
-		return s.roll.holding(), nil
+		return s.membership.holding(), nil
 	}
 	addr := s.leaderAddr()
 	if addr == "" {
--- /dev/null
+++ b/node/learn.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/retry"
+	"github.com/damaskpitch/damaskpitch/route"
+)
+
+// blockPath avoids an owner for a while that could not be reached.
+func (e *exchange) blockPath(res *result) {
+	e.service.mu.Lock()
+	defer e.service.mu.Unlock()
+	until := e.server.now() + _pathBlock
+	e.service.book.Change(res.choice.Candidate.Key, func(l *route.Load) { l.Blocked = until })
+}
+
+// learnEpoch follows an owner that has restarted since the view was made; a
+// predecessor that still answers on old connections is left behind.
+func (e *exchange) learnEpoch(res *result) {
+	epoch, err := strconv.ParseUint(res.response.Header.Get(_headerOwner), 10, 64)
+	if err != nil || epoch <= res.choice.Candidate.Epoch {
+		e.server.paths.doubt(res.choice.Candidate.Addr)
+		return
+	}
+	e.service.mu.Lock()
+	defer e.service.mu.Unlock()
+	e.service.pool = e.service.pool.WithEpoch(res.choice.Candidate.Key.Node, epoch)
+}
+
+// note remembers what the answer told of the instance.
+func (e *exchange) note(res *result) {
+	took := time.Since(res.started)
+	e.service.mu.Lock()
+	defer e.service.mu.Unlock()
+	e.service.book.Change(res.choice.Candidate.Key, func(l *route.Load) {
+		l.Sent--
+		if res.beaten.Load() {
+			*l = l.WithAtLeast(took)
+			return
+		}
+		l.Failing = res.fate != retry.Ran && res.fate != retry.NotRun || failedStatus(res.response)
+		if res.response == nil {
+			return
+		}
+		if res.response.Header.Get(_headerSick) != "" {
+			l.Blocked = e.server.now() + _sickBlock
+		}
+		busy, _, _ := strings.Cut(res.response.Header.Get(_headerLoad), "/")
+		l.Busy, _ = strconv.Atoi(busy)
+		if micros, err := strconv.ParseInt(res.response.Header.Get(_headerTook), 10, 64); err == nil {
+			took = time.Duration(micros) * time.Microsecond
+		}
+		// A failure that comes fast is no sign of speed.
+		if res.fate == retry.Ran && !l.Failing {
+			*l = l.WithTook(took)
+		}
+	})
+}
+
+// failedStatus tells a failure from an answer; 503 with Retry-After is shed
+// load.
+func failedStatus(r *http.Response) bool {
+	if r == nil || r.StatusCode < http.StatusInternalServerError || r.StatusCode == http.StatusNotImplemented {
+		return false
+	}
+	return r.StatusCode != http.StatusServiceUnavailable || r.Header.Get("Retry-After") == ""
+}
--- a/node/listen.go
+++ b/node/listen.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sys/unix"
 )
 
-const _partingTime = 3 * time.Second
+const _closeTime = 3 * time.Second
 
 // listen opens an address that a successor may open too, so that a restart
 // refuses nobody.
@@ -68,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	if s.inherited {
+	if s.tookOver {
 		if err := yield(l); err != nil {
 			s.log.Warn("steer new connections here", slog.String("addr", addr), slog.Any("error", err))
 		}
@@ -77,7 +77,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{
-		Handler:           s.partings(h),
+		Handler:           s.closeWhenStopping(h),
 		Protocols:         &protocols,
 		ReadHeaderTimeout: _headerTimeout,
 		IdleTimeout:       _idleTimeout,
@@ -94,8 +94,8 @@
 	return s.drain(server, l, addr)
 }
 
-// partings tells callers with each answer to leave once the node is to stop.
-func (s *Server) partings(h http.Handler) http.Handler {
+// closeWhenStopping tells callers with each answer to leave once the node is to stop.
+func (s *Server) closeWhenStopping(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.stopping.Load() {
 			w.Header().Set("Connection", "close")
@@ -111,7 +111,7 @@
 	}
 	// Callers that stay busy leave with their next answer; closing their
 	// connections at once would cut requests that are on their way.
-	time.Sleep(_partingTime)
+	time.Sleep(_closeTime)
 	ctx, cancel := context.WithTimeout(context.Background(), _drainTimeout)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
--- a/node/local.go
+++ b/node/local.go
@@ -76,34 +76,34 @@
 	}{rev, s.epoch.Load()})
 }
 
-// bequeath hands a successor what it needs to serve at once.
-func (s *Server) bequeath(ctx context.Context) (proto.Legacy, error) {
-	legacy := proto.Legacy{Epoch: s.epoch.Load()}
+// handOver hands a successor what it needs to serve at once.
+func (s *Server) handOver(ctx context.Context) (proto.Handover, error) {
+	handover := proto.Handover{Epoch: s.epoch.Load()}
 	s.mu.Lock()
 	for _, b := range s.backs {
-		legacy.Leases = append(legacy.Leases, proto.Lease{Instance: b.instance, Left: b.lease - s.now()})
+		handover.Leases = append(handover.Leases, proto.Lease{Instance: b.instance, Left: b.lease - s.now()})
 	}
 	s.mu.Unlock()
-	if !s.follow.with(ctx, func(m spread.Model) { legacy.View = m.View().Snapshot() }) {
-		return legacy, errors.New("stopping")
+	if !s.follow.with(ctx, func(m spread.Model) { handover.View = m.View().Snapshot() }) {
+		return handover, errors.New("stopping")
 	}
-	return legacy, nil
+	return handover, nil
 }
 
-// inherit asks a predecessor at this node's own address before listening.
-func (s *Server) inherit(ctx context.Context) {
-	reply, err := s.call(ctx, s.cfg.Settings.Peer, proto.Inherit{})
-	legacy, ok := reply.(proto.Legacy)
+// takeOver asks a predecessor at this node's own address before listening.
+func (s *Server) takeOver(ctx context.Context) {
+	reply, err := s.call(ctx, s.cfg.Settings.Peer, proto.TakeOver{})
+	handover, ok := reply.(proto.Handover)
 	if err != nil || !ok {
 		return
 	}
-	s.inherited = true
-	s.epoch.Store(max(s.epoch.Load(), legacy.Epoch+1))
+	s.tookOver = true
+	s.epoch.Store(max(s.epoch.Load(), handover.Epoch+1))
 	s.follow.update(ctx, spread.DeltaMsg{At: s.now(), Source: spread.Peer, Addr: s.cfg.Settings.Peer, Delta: proto.Delta{
-		Cluster: legacy.View.Cluster, Rev: legacy.View.Rev, Snapshot: &legacy.View,
+		Cluster: handover.View.Cluster, Rev: handover.View.Rev, Snapshot: &handover.View,
 	}})
-	for _, l := range legacy.Leases {
+	for _, l := range handover.Leases {
 		s.announce(l.Instance, max(l.Left, time.Second))
 	}
-	s.log.Info("inherited", slog.Int("instances", len(legacy.Leases)), slog.Uint64("rev", legacy.View.Rev))
+	s.log.Info("took over", slog.Int("instances", len(handover.Leases)), slog.Uint64("rev", handover.View.Rev))
 }
--- /dev/null
+++ b/node/reply.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damaskpitch/damaskpitch/retry"
+)
+
+// unanswered tells the ingress what became of the attempt.
+func (j *job) unanswered(connected bool, err error) {
+	j.server.log.Info("no answer",
+		slog.String("instance", j.id), slog.String("attempt", j.ref.String()), slog.Any("error", err))
+	j.setLoad()
+	if !connected {
+		j.server.notRun(j.w, "no connection to the backend server")
+		return
+	}
+	j.w.Header().Set(_headerFate, string(retry.Unknown))
+	j.w.Header().Set(HeaderReason, "backend server: "+err.Error())
+	j.w.WriteHeader(http.StatusBadGateway)
+}
+
+// answer streams the instance's answer, or ends the connection in the middle.
+func (j *job) answer(ctx context.Context, response *http.Response, w *work) {
+	out := j.w.Header()
+	for name, values := range cleanHeader(response.Header) {
+		out[name] = values
+	}
+	out.Set(_headerFate, string(retry.Ran))
+	out.Set(_headerTook, strconv.FormatInt(w.instanceTime().Microseconds(), 10))
+	if response.ContentLength >= 0 {
+		out.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	j.setLoad()
+	j.w.WriteHeader(response.StatusCode)
+	err := stream(j.w, response.Body, w)
+	outcome := workDone
+	switch {
+	case errors.Is(err, errCaller):
+		outcome = workCancelled
+	case err != nil:
+		outcome = outcomeOf(ctx, err, w)
+	case failedStatus(response):
+		outcome = workFailed
+	}
+	j.server.end(j.id, j.ref, outcome)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// errCaller says that it was the caller's side that went away.
+var errCaller = errors.New("caller went away")
+
+// stream copies an answer as it comes.
+func stream(w http.ResponseWriter, body io.Reader, running *work) error {
+	buffer := make([]byte, _copyBuffer)
+	flusher := http.NewResponseController(w)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			wrote := running.writing(func() error {
+				_, werr := w.Write(buffer[:n])
+				return errors.CombineErrors(werr, flusher.Flush())
+			})
+			if wrote != nil {
+				return errCaller
+			}
+		}
+		if err == io.EOF { //nolint:errorlint // the reader returns it bare
+			return nil
+		}
+		if err != nil {
+			return errors.Errorf("read answer: %w", err)
+		}
+	}
+}
+
+// suspicious finds an answer that may not be whole or not this request's.
+func suspicious(response *http.Response, r *http.Request) string {
+	if id := response.Header.Get(HeaderRequest); id != "" && id != r.Header.Get(HeaderRequest) {
+		return "answer to another request"
+	}
+	chunked := len(response.TransferEncoding) > 0
+	if response.ContentLength < 0 && !chunked && r.Method != http.MethodHead {
+		return "answer without a length"
+	}
+	return ""
+}
+
+func (j *job) setLoad() {
+	s := j.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load := s.gate.Load(j.id, s.now())
+	j.w.Header().Set(_headerLoad, strconv.Itoa(load.Running+load.Queued)+"/"+strconv.Itoa(load.Slots))
+	if b := s.backs[j.id]; b != nil && b.judge.Sick() {
+		j.w.Header().Set(_headerSick, "1")
+	}
+}
--- a/node/server.go
+++ b/node/server.go
@@ -61,7 +61,7 @@
 	aboard   *poison.Aboard
 	stopping atomic.Bool
 
-	inherited bool // from a predecessor that still runs
+	tookOver bool // from a predecessor that still runs
 
 	// Owned by the heartbeat's loop.
 	enrolled  bool
@@ -93,7 +93,7 @@
 
 // Run serves until the context ends, then finishes what is in flight.
 func (s *Server) Run(ctx context.Context) error {
-	s.inherit(ctx)
+	s.takeOver(ctx)
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	var background errgroup.Group
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -102,9 +102,9 @@
 	Peer  raft.Peer `json:"peer"`
 }
 
-// Mail carries replication messages.
-type Mail struct {
-	Letters []raft.Letter `json:"letters"`
+// Replicate carries replication messages.
+type Replicate struct {
+	Envelopes []raft.Envelope `json:"envelopes"`
 }
 
 // Probe asks a node to see whether it reaches another one.
@@ -130,11 +130,11 @@
 	State ledger.State `json:"state"`
 }
 
-// Inherit asks a running node for what its successor needs.
-type Inherit struct{}
+// TakeOver asks a running node for what its successor needs.
+type TakeOver struct{}
 
-// Legacy answers an Inherit.
-type Legacy struct {
+// Handover answers a TakeOver.
+type Handover struct {
 	Epoch  uint64        `json:"epoch"`
 	Leases []Lease       `json:"leases"`
 	View   view.Snapshot `json:"view"`
@@ -157,7 +157,7 @@
 	list = append(list, raft.Types()...)
 	return append(list,
 		Pull{}, Delta{}, Beat{}, BeatReply{}, Submit{}, Outcome{}, Barrier{}, Current{},
-		Census{}, Holding{}, Hello{}, Greeting{}, Join{}, Mail{}, Probe{}, Probed{},
-		Inquire{}, Fate{}, Ack{}, Inherit{}, Legacy{}, store.Misrouted{},
+		Census{}, Holding{}, Hello{}, Greeting{}, Join{}, Replicate{}, Probe{}, Probed{},
+		Inquire{}, Fate{}, Ack{}, TakeOver{}, Handover{}, store.Misrouted{},
 	)
 }
--- a/raft/bodies.go
+++ b/raft/bodies.go
@@ -46,8 +46,8 @@
 	Term uint64 `json:"term"`
 }
 
-// Letter is a body with its sender and its replication group.
-type Letter struct {
+// Envelope is a body with its sender and its replication group.
+type Envelope struct {
 	Group uint32 `json:"group"`
 	From  uint64 `json:"from"`
 	To    uint64 `json:"to"`
@@ -56,5 +56,5 @@
 
 // Types lists the bodies in the order of the format.
 func Types() []any {
-	return []any{Letter{}, Vote{}, VoteReply{}, Append{}, AppendReply{}, Install{}, Elect{}}
+	return []any{Envelope{}, Vote{}, VoteReply{}, Append{}, AppendReply{}, Install{}, Elect{}}
 }
--- a/raft/world_test.go
+++ b/raft/world_test.go
@@ -13,7 +13,7 @@
 	rng      *rand.Rand
 	now      time.Duration
 	replicas map[uint64]*host
-	mail     []letter
+	queue    []message
 	cut      map[[2]uint64]bool
 	applied  []Entry           // the longest history that any replica applied
 	leaders  map[uint64]uint64 // by term
@@ -24,7 +24,7 @@
 	broken   error
 }
 
-type letter struct {
+type message struct {
 	from, to uint64
 	body     any
 }
@@ -101,7 +101,7 @@
 		}
 		h.disk.Snapshot = cmd.Snapshot
 	case SendCmd:
-		w.mail = append(w.mail, letter{from: id, to: cmd.To.ID, body: cmd.Body})
+		w.queue = append(w.queue, message{from: id, to: cmd.To.ID, body: cmd.Body})
 	case ApplyCmd:
 		w.apply(h, cmd.Entries)
 	case RestoreCmd:
@@ -154,15 +154,15 @@
 	}
 }
 
-// deliver passes one waiting letter on, any of them.
+// deliver passes one waiting message on, any of them.
 func (w *world) deliver() {
-	if len(w.mail) == 0 {
+	if len(w.queue) == 0 {
 		return
 	}
-	i := w.rng.IntN(len(w.mail))
-	l := w.mail[i]
+	i := w.rng.IntN(len(w.queue))
+	l := w.queue[i]
 	if !w.chaos || w.rng.IntN(20) > 0 {
-		w.mail = slices.Delete(w.mail, i, i+1)
+		w.queue = slices.Delete(w.queue, i, i+1)
 	}
 	if w.cut[[2]uint64{l.from, l.to}] || w.chaos && w.rng.IntN(20) == 0 {
 		return
@@ -170,11 +170,11 @@
 	w.tell(l.to, ReceiveMsg{From: l.from, Body: l.body})
 }
 
-// settle runs without faults until the mail is quiet for a while.
+// settle runs without faults until the queue is quiet for a while.
 func (w *world) settle(d time.Duration) {
 	for range d / (10 * time.Millisecond) {
 		w.tick(10 * time.Millisecond)
-		for range 4 * len(w.mail) {
+		for range 4 * len(w.queue) {
 			w.deliver()
 		}
 	}
--- a/trials/caller_test.go
+++ b/trials/caller_test.go
@@ -29,8 +29,8 @@
 		}
 	}
 	for n := range _slowCallers {
-		f.dawdle(n%2, "GET /blob/large HTTP/1.1\r\nHost: x\r\n\r\n")
-		f.dawdle(n%2, "POST /check/slow HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 70000))
+		f.holdRequest(n%2, "GET /blob/large HTTP/1.1\r\nHost: x\r\n\r\n")
+		f.holdRequest(n%2, "POST /check/slow HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 70000))
 	}
 	for range 40 {
 		time.Sleep(100 * time.Millisecond)
@@ -55,8 +55,8 @@
 	}
 }
 
-// dawdle sends a request and takes nothing of the answer until the test ends.
-func (f *fleet) dawdle(node int, request string) {
+// holdRequest sends a request and takes nothing of the answer until the test ends.
+func (f *fleet) holdRequest(node int, request string) {
 	c, err := net.Dial("tcp", f.nodes[node].Caller)
 	if err != nil {
 		f.t.Fatal(err)
--- a/trials/history_test.go
+++ b/trials/history_test.go
@@ -105,8 +105,8 @@
 	}
 }
 
-// deafen keeps what the others send from reaching a host.
-func (m *mesh) deafen(host int) {
+// cutInbound keeps what the others send from reaching a host.
+func (m *mesh) cutInbound(host int) {
 	for pair := range m.relays {
 		if pair[1] == host {
 			m.cut(pair[0], pair[1])
@@ -202,7 +202,7 @@
 		operators = append(operators, o)
 		wg.Go(func() { o.run(start, stop) })
 	}
-	m.suffer()
+	m.injectFaults()
 	close(stop)
 	wg.Wait()
 	history := []porcupine.Operation{{
@@ -227,15 +227,15 @@
 	}
 }
 
-// suffer brings about one failure after the other.
-func (m *mesh) suffer() {
+// injectFaults brings about one failure after the other.
+func (m *mesh) injectFaults() {
 	const pause = 2 * time.Second
 	time.Sleep(pause / 4)
 	m.split()
 	time.Sleep(pause)
 	m.heal()
 	time.Sleep(pause)
-	m.deafen(m.leader(0))
+	m.cutInbound(m.leader(0))
 	time.Sleep(pause)
 	m.heal()
 	time.Sleep(pause)
