Let nodes tell each other of new instances while control is away

Change: its node tells the peers that pull from it; they pass it on for a minute and route to it. A rumor never enters the view, is ordered by the node's start and a stamp, goes once the view knows as much, and expires unless refreshed.

TestNewServerWithoutControl, separate processes: fails in a scratch copy without rumors, passes with them.

Ruled out: sending a host's whole list (6 KB a host); a cursor for each peer (peers are random).

--- a/node/beat.go
+++ b/node/beat.go
@@ -58,6 +58,16 @@
 	msg := proto.Beat{
 		Node: s.cfg.Settings.Name, Epoch: s.epoch.Load(), Rev: rev, Digest: view.Digest(instances),
 	}
+	err := s.renew(ctx, msg, instances)
+	if err != nil {
+		s.follow.local(ctx, s.member(), instances)
+	}
+	return err
+}
+
+// renew renews the lease, and enrolls when the control hosts know this node
+// otherwise than it is.
+func (s *Server) renew(ctx context.Context, msg proto.Beat, instances []view.Instance) error {
 	reply, err := s.callControl(ctx, place.Fleet, msg)
 	if err != nil {
 		return err
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/damaskpitch/damaskpitch/place"
+	"github.com/damaskpitch/damaskpitch/proto"
 	"github.com/damaskpitch/damaskpitch/retry"
 	"github.com/damaskpitch/damaskpitch/route"
 	"github.com/damaskpitch/damaskpitch/spec"
@@ -20,6 +22,7 @@
 	table    *route.Table
 	services map[string]*service
 	groups   uint32 // of idempotency keys
+	rumors   func(service string) []proto.Rumor
 	banned   map[uint64]bool
 	held     map[uint64]time.Time // until the whole fleet's ban is in force
 }
@@ -103,7 +106,11 @@
 	}
 	routes := all
 	for _, name := range names {
-		routes = f.updateService(v, name, candidates(v, name)) || routes
+		list := candidates(v, name)
+		if f.rumors != nil {
+			list = withRumors(list, f.rumors(name))
+		}
+		routes = f.updateService(v, name, list) || routes
 	}
 	if routes {
 		f.rebuild(v)
@@ -172,6 +179,27 @@
 	return list
 }
 
+// withRumors adds the instances that nodes have told each other of, in the
+// place of older ones.
+func withRumors(list []route.Candidate, rumors []proto.Rumor) []route.Candidate {
+	for _, r := range rumors {
+		c := route.Candidate{
+			Key:    r.Key(),
+			Center: r.Member.Center,
+			Addr:   r.Member.Addr,
+			Epoch:  r.Member.Epoch,
+			Out:    r.Instance.Leaving,
+		}
+		at := slices.IndexFunc(list, func(known route.Candidate) bool { return known.Key == c.Key })
+		if at >= 0 {
+			list[at] = c
+			continue
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
 func sameRoutes(a, b spec.Service) bool {
 	if len(a.Routes) != len(b.Routes) || a.Name != b.Name {
 		return false
--- a/node/follow.go
+++ b/node/follow.go
@@ -28,7 +28,7 @@
 
 func newFollower(s *Server) *follower {
 	settings := s.cfg.Settings
-	return &follower{
+	f := &follower{
 		server: s,
 		model: spread.New(spread.Config{
 			Node:    settings.Name,
@@ -39,6 +39,16 @@
 		inbox: make(chan spread.Msg, 16),
 		asks:  make(chan ask),
 	}
+	s.fleet.rumors = func(service string) []proto.Rumor { return f.model.Rumors(service) }
+	return f
+}
+
+// local spreads this node's instances while no control host takes them.
+func (f *follower) local(ctx context.Context, member view.Member, instances []view.Instance) {
+	select {
+	case f.inbox <- spread.LocalMsg{At: f.server.now(), Member: member, Instances: instances}:
+	case <-ctx.Done():
+	}
 }
 
 func (f *follower) run(ctx context.Context) error {
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -25,6 +25,47 @@
 	Rev      uint64         `json:"rev"`
 	Events   []view.Event   `json:"events,omitempty"`
 	Snapshot *view.Snapshot `json:"snapshot,omitempty"`
+	// Rumors are what nodes tell each other while control is away.
+	Rumors []Rumor `json:"rumors,omitempty"`
+}
+
+// Rumor is an instance that its node could not announce to a control host;
+// Stamp orders the rumors of one start of the node.
+type Rumor struct {
+	Member   view.Member   `json:"member"`
+	Stamp    uint64        `json:"stamp"`
+	Instance view.Instance `json:"instance"`
+}
+
+// Key returns the instance's name within the fleet.
+func (r Rumor) Key() view.Key {
+	return view.Key{Node: r.Member.Node, ID: r.Instance.ID}
+}
+
+// After reports whether the rumor is newer than another one of its instance.
+func (r Rumor) After(other Rumor) bool {
+	if r.Member.Epoch != other.Member.Epoch {
+		return r.Member.Epoch > other.Member.Epoch
+	}
+	return r.Stamp > other.Stamp
+}
+
+// Check returns a FieldError for the first field that is wrong.
+func (r Rumor) Check() error {
+	if err := r.Member.Check(); err != nil {
+		return err
+	}
+	return r.Instance.Check()
+}
+
+// Check returns a FieldError for the first rumor that is wrong.
+func (d Delta) Check() error {
+	for _, r := range d.Rumors {
+		if err := r.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Beat renews a member's lease and says what it holds.
--- a/spread/messages.go
+++ b/spread/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/damaskpitch/damaskpitch/proto"
+	"github.com/damaskpitch/damaskpitch/view"
 )
 
 // Source says whom a pull went to.
@@ -30,6 +31,13 @@
 	Delta  proto.Delta
 }
 
+// LocalMsg is this node and its instances when no control host took them.
+type LocalMsg struct {
+	At        time.Duration
+	Member    view.Member
+	Instances []view.Instance
+}
+
 // FailMsg says that a pull had no answer.
 type FailMsg struct {
 	At     time.Duration
@@ -40,6 +48,7 @@
 func (TickMsg) spreadMsg()  {}
 func (DeltaMsg) spreadMsg() {}
 func (FailMsg) spreadMsg()  {}
+func (LocalMsg) spreadMsg() {}
 
 // Cmd is what the model wants done.
 type Cmd interface{ spreadCmd() }
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -47,6 +47,9 @@
 	askAt   time.Duration
 	turn    int
 	round   uint64
+	at      time.Duration
+	rumors  map[view.Key]heard
+	pruneAt time.Duration
 }
 
 // New returns a model with an empty view.
@@ -57,6 +60,7 @@
 		cfg:     cfg,
 		view:    view.New(),
 		history: view.NewHistory(0, _history),
+		rumors:  map[view.Key]heard{},
 		turn:    int(seed % uint64(max(1, len(cfg.Control)))),
 	}
 }
@@ -73,6 +77,8 @@
 		return m.tick(msg.At)
 	case DeltaMsg:
 		return m.delta(msg)
+	case LocalMsg:
+		return m.local(msg)
 	case FailMsg:
 		return m.fail(msg), nil
 	}
@@ -82,6 +88,9 @@
 // Answer returns what a peer that pulls should hear.
 func (m Model) Answer(p proto.Pull) proto.Delta {
 	d := proto.Delta{Cluster: m.view.Cluster, From: p.Rev, Rev: m.view.Rev}
+	if p.Cluster == 0 || p.Cluster == m.view.Cluster {
+		d.Rumors = m.hot(p.Rev == 0)
+	}
 	if p.Rev >= m.view.Rev || p.Cluster != 0 && p.Cluster != m.view.Cluster {
 		return d
 	}
@@ -95,7 +104,12 @@
 }
 
 func (m Model) tick(at time.Duration) (Model, []Cmd) {
+	m.at = at
 	var cmds []Cmd
+	if at >= m.pruneAt {
+		m.pruneAt = at + _rumorPrune
+		cmds = applied(m.view, m.prune(at))
+	}
 	if !m.polling && at >= m.pollAt && len(m.cfg.Control) > 0 {
 		m.polling = true
 		addr := m.cfg.Control[m.turn%len(m.cfg.Control)]
@@ -148,6 +162,9 @@
 func (m Model) delta(msg DeltaMsg) (Model, []Cmd) {
 	before := m.view.Rev
 	m, cmds := m.apply(msg)
+	if m.view.Cluster == msg.Delta.Cluster {
+		cmds = append(cmds, applied(m.view, m.hear(msg.Delta.Rumors, msg.At))...)
+	}
 	moved := m.view.Rev > before
 	if msg.Source == Peer {
 		m.asking = false
@@ -190,6 +207,7 @@
 		touched = append(touched, m.view.Apply(e)...)
 		m.history.Add(e)
 	}
+	touched = append(touched, m.prune(msg.At)...)
 	slices.Sort(touched)
 	return m, []Cmd{AppliedCmd{Rev: m.view.Rev, Services: slices.Compact(touched)}}
 }
--- a/trials/control_test.go
+++ b/trials/control_test.go
@@ -193,6 +193,27 @@
 	})
 }
 
+// TestNewServerWithoutControl starts a backend server beside one node while
+// every control host is away: callers of the other node reach it, and once
+// control is back it is in force everywhere.
+func TestNewServerWithoutControl(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.startAll()
+	f.put(0, lookup(), "first")
+	f.awaitInstances(0)
+	f.kill("c1")
+	f.backend("lookup-1", "lookup", 1)
+	f.eventually("answer of the new server", func() error {
+		_, err := f.ask(0, "/check/new")
+		return err
+	})
+	f.startControl(0)
+	f.awaitInstances(1)
+	if _, err := f.ask(0, "/check/after"); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestEverythingRestarts kills every process at once: nothing accepted is
 // lost.
 func TestEverythingRestarts(t *testing.T) {
