Found each group of keys once in a fleet's life

Cause: a blank host founds a group when no voter that its settings place belongs to it. With many hosts added at once all three voters of a group can be new, and they founded it again: renewals ran twice (TestKeysMove, many_at_once: three hosts grow to nine; failed first, renewal-7 and renewal-26 ran 2 times).

Change: the fleet's own group grants the founding of a group to the first host that asks, for ever, and blank hosts ask every host of the list, so that they join the old members.

--- a/ctrl/boot.go
+++ b/ctrl/boot.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,7 +25,7 @@
 	ticker := time.NewTicker(_bootInterval)
 	defer ticker.Stop()
 	for !g.belongs() {
-		if g.mayFound(ctx) {
+		if g.mayFound(ctx) && g.grantedFounding(ctx) {
 			g.server.log.Info("found group", slog.Uint64("group", uint64(g.id)))
 			return g.replica.Tell(ctx, raft.FoundMsg{Peer: g.self()})
 		}
@@ -37,19 +38,34 @@
 	return nil
 }
 
-// mayFound asks the group's other voters; on the way it asks members to be let
-// in.
+// grantedFounding asks the fleet's own group whether this host may found a
+// group of keys. The grant is given once, so that hosts which replace all of a
+// group's voters at the same time never found it a second time.
+func (g *group) grantedFounding(ctx context.Context) bool {
+	if g.id == place.Fleet {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, _callTimeout)
+	defer cancel()
+	result, err := g.server.submit(ctx, store.FoundGroup{Group: g.id, Host: g.server.disk.ID()})
+	_, granted := result.(store.Written)
+	return err == nil && granted
+}
+
+// mayFound asks the other hosts; on the way it asks members to be let in, who
+// may be hosts that the placement no longer names.
 func (g *group) mayFound(ctx context.Context) bool {
 	settings := g.server.cfg.Settings
 	may := place.Founder(g.id, g.server.hosts) == settings.Name
-	for _, h := range g.voters {
+	for _, h := range settings.Hosts {
 		if h.Name == settings.Name {
 			continue
 		}
+		votes := slices.ContainsFunc(g.voters, func(v place.Host) bool { return v.Name == h.Name })
 		addr := settings.AddrOf(h.Name)
 		greeting, err := g.greet(ctx, addr)
 		if err != nil {
-			may = false
+			may = may && !votes
 			continue
 		}
 		if greeting.Member {
--- a/store/command.go
+++ b/store/command.go
@@ -111,6 +111,13 @@
 	Prints []uint64 `json:"prints"`
 }
 
+// FoundGroup asks to found a group of idempotency keys on a host; the first
+// host that asks for a group is the only one that may.
+type FoundGroup struct {
+	Group uint32 `json:"group"`
+	Host  uint64 `json:"host"`
+}
+
 // Clock carries only its time, for leases that run out.
 type Clock struct{}
 
@@ -128,6 +135,7 @@
 func (Settle) command()      {}
 func (Crash) command()       {}
 func (Clock) command()       {}
+func (FoundGroup) command()  {}
 
 // Types lists the commands and results in the order of the format.
 func Types() []any {
@@ -156,6 +164,7 @@
 		Claimed{},
 		Mismatched{},
 		Crash{},
+		FoundGroup{},
 	}
 }
 
--- a/store/snapshot.go
+++ b/store/snapshot.go
@@ -22,6 +22,7 @@
 	Claims   map[string]claim.Record   `json:"claims"`
 	Requests map[string]Kept           `json:"requests"`
 	Suspects map[uint64]poison.Suspect `json:"suspects"`
+	Founders map[uint32]uint64         `json:"founders,omitempty"`
 }
 
 // Freeze returns the whole state as it is now, to be encoded while entries go
@@ -58,6 +59,7 @@
 		Claims:   claims,
 		Requests: maps.Clone(m.requests),
 		Suspects: maps.Clone(m.poison.Suspects()),
+		Founders: maps.Clone(m.founders),
 	}
 	for service, arbiter := range m.arbiters {
 		arbiter.Known = maps.Clone(arbiter.Known)
@@ -98,6 +100,9 @@
 		m.arbiters[name] = arbiter
 	}
 	m.poison = poison.Restore(poison.Config{}, s.Suspects)
+	for group, host := range s.Founders {
+		m.founders[group] = host
+	}
 	for request, kept := range s.Requests {
 		m.requests[request] = kept
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -37,6 +37,7 @@
 	claims   claim.Model
 	poison   poison.Model
 	requests map[string]Kept
+	founders map[uint32]uint64 // the host that may found each group of keys
 	history  *view.History
 }
 
@@ -56,6 +57,7 @@
 		claims:   claim.New(claim.Config{Retention: cfg.Retention}),
 		poison:   poison.New(poison.Config{}),
 		requests: map[string]Kept{},
+		founders: map[uint32]uint64{},
 		history:  view.NewHistory(0, cfg.History),
 	}
 }
@@ -102,6 +104,8 @@
 	switch c := e.Command.(type) {
 	case Found:
 		return m, m.found(c)
+	case FoundGroup:
+		return m, m.foundGroup(c)
 	case PutService:
 		return m.once(c.Request, func() Result { return m.putService(c) })
 	case DropService:
@@ -140,6 +144,14 @@
 	return Written{Rev: m.index}
 }
 
+func (m *Model) foundGroup(c FoundGroup) Result {
+	if host, taken := m.founders[c.Group]; taken && host != c.Host {
+		return Stale{}
+	}
+	m.founders[c.Group] = c.Host
+	return Written{Rev: m.index}
+}
+
 // once gives an operator's resend the first result.
 func (m Model) once(request string, run func() Result) (Model, Result) {
 	if request == "" {
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -193,3 +193,28 @@
 		t.Errorf("fleet %d with %d groups at revision %d", v.Cluster, v.Groups, v.Rev)
 	}
 }
+
+// TestFoundGroup lets one host found a group of keys, for ever, also from a
+// snapshot.
+func TestFoundGroup(t *testing.T) {
+	m := New(Config{})
+	cases := []struct {
+		host    uint64
+		granted bool
+	}{{7, true}, {8, false}, {7, true}}
+	for _, c := range cases {
+		if _, granted := feed(&m, FoundGroup{Group: 3, Host: c.host}).(Written); granted != c.granted {
+			t.Errorf("host %d: granted is %v", c.host, granted)
+		}
+	}
+	data, err := m.Save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m, err = Load(Config{}, data); err != nil {
+		t.Fatal(err)
+	}
+	if _, granted := feed(&m, FoundGroup{Group: 3, Host: 8}).(Written); granted {
+		t.Error("another host was granted the group after a snapshot")
+	}
+}
