Forget what an owner told of its load after a second

Cause: an ingress that last heard of a busy instance kept passing it over: no answer of the instance could tell that it was free again.

Change: what the owner told counts for a second. TestOldLoad lists it.

Not covered: an instance that was slow once keeps its smoothed time until it is chosen again.

--- a/node/learn.go
+++ b/node/learn.go
@@ -51,6 +51,7 @@
 		}
 		busy, _, _ := strings.Cut(res.response.Header.Get(_headerLoad), "/")
 		l.Busy, _ = strconv.Atoi(busy)
+		l.Told = e.server.now()
 		if micros, err := strconv.ParseInt(res.response.Header.Get(_headerTook), 10, 64); err == nil {
 			took = time.Duration(micros) * time.Microsecond
 		}
--- a/route/choose.go
+++ b/route/choose.go
@@ -21,7 +21,10 @@
 	Last Why = "last"
 )
 
-const _samples = 2
+const (
+	_samples  = 2
+	_busyLife = time.Second
+)
 
 // Request is what the choice needs to know.
 type Request struct {
@@ -68,11 +71,11 @@
 	for n := range list {
 		c := list[(start+n*step)%len(list)]
 		l := b.Load(c.Key)
-		if !usable(c, p, b, r) || free && l.busy() >= p.Slots {
+		if !usable(c, p, b, r) || free && l.busy(r.At) >= p.Slots {
 			continue
 		}
 		found++
-		if found == 1 || l.cost() < best.Load.cost() {
+		if found == 1 || l.cost(r.At) < best.Load.cost(r.At) {
 			best = Choice{Candidate: c, Load: l}
 		}
 		if found == _samples {
@@ -107,13 +110,18 @@
 	return c
 }
 
-func (l Load) busy() int {
+// busy is what the owner told lately, but never less than what this ingress
+// has sent: an instance that was busy once must not be passed over for ever.
+func (l Load) busy(at time.Duration) int {
+	if at >= l.Told+_busyLife {
+		return l.Sent
+	}
 	return max(l.Sent, l.Busy)
 }
 
 // cost orders instances by the time that a request would wait and take.
-func (l Load) cost() int64 {
-	return int64(l.busy()+1) * int64(max(l.Took, time.Millisecond))
+func (l Load) cost(at time.Duration) int64 {
+	return int64(l.busy(at)+1) * int64(max(l.Took, time.Millisecond))
 }
 
 // stride walks a list of n in a drawn order that meets every place once.
--- a/route/load.go
+++ b/route/load.go
@@ -14,8 +14,10 @@
 type Load struct {
 	// Sent is the number of this ingress's attempts in flight.
 	Sent int
-	// Busy is the number of running and queued attempts that the owner told.
+	// Busy is the number of running and queued attempts that the owner told, at
+	// the time Told.
 	Busy int
+	Told time.Duration
 	// Took is the smoothed time of a request, and Last the latest one.
 	Took time.Duration
 	Last time.Duration
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -190,3 +190,22 @@
 		t.Error("the instance that was given up looks as quick as the other")
 	}
 }
+
+// TestOldLoad chooses an instance again some time after it was last told to be
+// busy: only an answer of its own could tell that it is not.
+func TestOldLoad(t *testing.T) {
+	b := NewBook()
+	p := Pool{Slots: 4, Near: 2, Candidates: []Candidate{{Key: view.Key{ID: "a"}}, {Key: view.Key{ID: "b"}}}}
+	b.Change(view.Key{ID: "a"}, func(l *Load) { l.Took = 40 * time.Millisecond })
+	b.Change(view.Key{ID: "b"}, func(l *Load) { l.Took, l.Busy = 20*time.Millisecond, 3 })
+	cases := []struct {
+		at   time.Duration
+		want string
+	}{{0, "a"}, {_busyLife / 2, "a"}, {_busyLife, "b"}, {time.Hour, "b"}}
+	for _, c := range cases {
+		choice, _ := Choose(p, b, Request{At: c.at, Random: 7})
+		if got := choice.Candidate.Key.ID; got != c.want {
+			t.Errorf("%v after it was told: %s, want %s", c.at, got, c.want)
+		}
+	}
+}
