--- a/trials/groups_test.go
+++ b/trials/groups_test.go
@@ -77,6 +77,9 @@
 		f.awaitVoters(n, 3)
 	}
 	f.awaitPlacement(all)
+	if hosts == 4 {
+		f.awaitVoters(0, hosts)
+	}
 	f.kill("c1")
 	second := f.renewEach(1)
 	for key, answer := range first {
@@ -226,14 +229,21 @@
 		})
 	}
 	wg.Wait()
-	old := f.identity(1, "c3")
+	old, err := f.identity(1, "c3")
+	if err != nil {
+		t.Fatal(err)
+	}
 	f.kill("c3")
 	if err := os.RemoveAll(f.controls[2].Data); err != nil {
 		t.Fatal(err)
 	}
 	f.startControl(2)
 	f.eventually("repair", func() error {
-		if f.identity(1, "c3") == old {
+		now, err := f.identity(1, "c3")
+		if err != nil {
+			return err
+		}
+		if now == old {
 			return errors.New("the lost identity still votes")
 		}
 		return f.placed(1, []string{"c1", "c2", "c3"})
@@ -248,17 +258,17 @@
 }
 
 // identity returns what the first host knows another one's data folder by.
-func (f *fleet) identity(group uint32, host string) uint64 {
+func (f *fleet) identity(group uint32, host string) (uint64, error) {
 	status, err := f.groupStatus(f.controls[0].Name, group)
 	if err != nil {
-		return 0
+		return 0, err
 	}
 	for _, p := range status.Hosts {
 		if p.Name == host && !p.Learner {
-			return p.ID
+			return p.ID, nil
 		}
 	}
-	return 0
+	return 0, fmt.Errorf("%s does not vote in group %d", host, group)
 }
 
 // claimer submits commands to one group's leader.
