Keep an old majority out after a rescue, and found lost groups anew

Each rescue now gives its group a greater lineage; a replica that asks from an older one is told so and stops.

Ruled out: a much greater term (the old majority takes the term over); a reply to the sender's ID alone (a rescued host does not list it, so the first form's answers had no address and the old hosts ran on: TestRescueOldMajority hung); refusing answers of an older lineage (a replica that catches up sends them).

--- a/cmd/damaskpitch/rescue.go
+++ b/cmd/damaskpitch/rescue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -20,6 +21,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Usage: "read the surviving host's settings from `FILE`", Required: true},
 			&cli.Uint32SliceFlag{Name: "group", Usage: "rescue the group with `NUMBER`; 0 is the configuration's", Required: true},
+			&cli.BoolFlag{Name: "refound", Usage: "go on without the keys of groups that no folder holds any more"},
 			&cli.BoolFlag{Name: "accept-loss", Usage: "say that the loss is understood"},
 		},
 		Action: rescue,
@@ -34,9 +36,14 @@
 	if err != nil {
 		return err
 	}
-	list, err := ctrl.Rescue(settings, c.Uint32Slice("group"))
+	list, err := ctrl.Rescue(ctrl.RescueConfig{
+		Settings: settings,
+		Groups:   c.Uint32Slice("group"),
+		Lineage:  uint64(time.Now().Unix()),
+		Refound:  c.Bool("refound"),
+	})
 	for _, r := range list {
-		fmt.Fprintf(c.Root().Writer, "group %d goes on from entry %d in term %d\n", r.Group, r.Index, r.Term)
+		fmt.Fprintf(c.Root().Writer, "group %d goes on from entry %d in term %d, held before: %t\n", r.Group, r.Index, r.Term, r.Held)
 	}
 	return err
 }
--- a/ctrl/group.go
+++ b/ctrl/group.go
@@ -30,6 +30,7 @@
 	stored.Keyless = id == place.Fleet
 	rc := ReplicaConfig{
 		Group:  id,
+		Name:   s.cfg.Settings.Name,
 		Disk:   s.disk,
 		Send:   func(to raft.Peer, envelope raft.Envelope) { s.outbox.send(s.addrOf(to), envelope) },
 		Logger: s.log,
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -86,7 +86,7 @@
 	case raft.SnapshotCmd:
 		return r.cfg.Disk.Snapshot(r.cfg.Group, cmd)
 	case raft.SendCmd:
-		r.cfg.Send(cmd.To, raft.Envelope{Group: r.cfg.Group, From: r.cfg.Raft.ID, To: cmd.To.ID, Body: cmd.Body})
+		r.send(cmd)
 	case raft.ApplyCmd:
 		return r.apply(cmd.Entries)
 	case raft.RestoreCmd:
@@ -99,10 +99,23 @@
 		r.answer(cmd.ID, outcome{index: cmd.Index})
 	case raft.LeaderCmd:
 		r.led(cmd)
+	case raft.SupersededCmd:
+		return errors.Errorf("group %d: %w", r.cfg.Group, ErrSuperseded)
 	}
 	return nil
 }
 
+func (r *Replica) send(cmd raft.SendCmd) {
+	r.cfg.Send(cmd.To, raft.Envelope{
+		Group:   r.cfg.Group,
+		From:    r.cfg.Raft.ID,
+		Name:    r.cfg.Name,
+		To:      cmd.To.ID,
+		Lineage: r.model.Lineage(),
+		Body:    cmd.Body,
+	})
+}
+
 func (r *Replica) apply(entries []raft.Entry) error {
 	for _, e := range entries {
 		if err := r.applyOne(e); err != nil {
--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -25,6 +25,8 @@
 	ErrNoLeader = errors.New("not the leader")
 	// ErrLost says that the command had no effect: another leader took over.
 	ErrLost = errors.New("command was replaced")
+	// ErrSuperseded says that the group was rescued without this data folder.
+	ErrSuperseded = errors.New("the data folder is from before a rescue: empty it and start again")
 	// ErrStopped says that the replica has stopped; the outcome is unknown.
 	ErrStopped = errors.New("replica stopped")
 )
@@ -32,6 +34,7 @@
 // ReplicaConfig sets up one replica.
 type ReplicaConfig struct {
 	Group  uint32
+	Name   string // of the host
 	Disk   *disk.Disk
 	Send   func(to raft.Peer, envelope raft.Envelope)
 	Lead   func()
--- a/ctrl/rescue.go
+++ b/ctrl/rescue.go
@@ -5,45 +5,66 @@
 
 	"github.com/damaskpitch/damaskpitch/config"
 	"github.com/damaskpitch/damaskpitch/disk"
+	"github.com/damaskpitch/damaskpitch/place"
 	"github.com/damaskpitch/damaskpitch/raft"
 )
 
 // ErrNotHeld says that a data folder holds no part of a group.
 var ErrNotHeld = errors.New("the data folder does not hold the group")
 
+// RescueConfig says which groups go on from a stopped host's data folder.
+type RescueConfig struct {
+	Settings config.Control
+	Groups   []uint32
+	// Lineage is the least one to go on under.
+	Lineage uint64
+	// Refound goes on without the keys of groups that the folder does not hold.
+	Refound bool
+}
+
 // Rescued is a replication group that goes on from one data folder.
 type Rescued struct {
 	Group uint32 `json:"group"`
 	Index uint64 `json:"index"`
 	Term  uint64 `json:"term"`
+	Held  bool   `json:"held"`
 }
 
 // Rescue makes a stopped control host the only voter of the groups, after a
 // majority of each was lost for good. The host must not run.
-func Rescue(settings config.Control, groups []uint32) ([]Rescued, error) {
-	d, err := disk.Open(disk.Config{Folder: settings.Data})
+func Rescue(cfg RescueConfig) ([]Rescued, error) {
+	d, err := disk.Open(disk.Config{Folder: cfg.Settings.Data})
 	if err != nil {
 		return nil, err
 	}
-	list, err := rescueAll(d, groups)
+	list, err := cfg.rescueAll(d)
 	return list, errors.CombineErrors(err, d.Close())
 }
 
-func rescueAll(d *disk.Disk, groups []uint32) ([]Rescued, error) {
+func (c RescueConfig) rescueAll(d *disk.Disk) ([]Rescued, error) {
 	var list []Rescued
-	for _, id := range groups {
-		saved, err := d.Load(id)
+	for _, id := range c.Groups {
+		rescued, err := c.rescueOne(d, id)
 		if err != nil {
-			return list, errors.Errorf("load group %d: %w", id, err)
-		}
-		cmd, held := raft.Rescue(saved, d.ID())
-		if !held {
-			return list, errors.Errorf("rescue group %d: %w", id, ErrNotHeld)
-		}
-		if err := d.Save(id, cmd); err != nil {
 			return list, errors.Errorf("rescue group %d: %w", id, err)
 		}
-		list = append(list, Rescued{Group: id, Index: cmd.Entries[0].Index, Term: cmd.Term})
+		list = append(list, rescued)
 	}
 	return list, nil
 }
+
+func (c RescueConfig) rescueOne(d *disk.Disk, id uint32) (Rescued, error) {
+	saved, err := d.Load(id)
+	if err != nil {
+		return Rescued{}, err
+	}
+	self := raft.Peer{ID: d.ID(), Name: c.Settings.Name, Addr: c.Settings.AddrOf(c.Settings.Name)}
+	cmd, held := raft.Rescue(saved, self, c.Lineage)
+	if !held && (!c.Refound || id == place.Fleet) {
+		return Rescued{}, ErrNotHeld
+	}
+	if err := d.Save(id, cmd); err != nil {
+		return Rescued{}, err
+	}
+	return Rescued{Group: id, Index: cmd.Entries[0].Index, Term: cmd.Term, Held: held}, nil
+}
--- a/ctrl/rpc.go
+++ b/ctrl/rpc.go
@@ -9,7 +9,6 @@
 
 	"github.com/damaskpitch/damaskpitch/place"
 	"github.com/damaskpitch/damaskpitch/proto"
-	"github.com/damaskpitch/damaskpitch/raft"
 	"github.com/damaskpitch/damaskpitch/store"
 	"github.com/damaskpitch/damaskpitch/view"
 	"github.com/damaskpitch/damaskpitch/wire"
@@ -61,7 +60,7 @@
 		if !held || envelope.To != s.disk.ID() {
 			continue
 		}
-		if err := g.replica.Tell(ctx, raft.ReceiveMsg{From: envelope.From, Body: envelope.Body}); err != nil {
+		if err := g.replica.Tell(ctx, envelope.Message()); err != nil {
 			return err
 		}
 	}
--- a/raft/bodies.go
+++ b/raft/bodies.go
@@ -46,15 +46,28 @@
 	Term uint64 `json:"term"`
 }
 
+// Superseded answers a replica whose group was rescued without it.
+type Superseded struct {
+	Lineage uint64 `json:"lineage"`
+}
+
 // Envelope is a body with its sender and its replication group.
 type Envelope struct {
 	Group uint32 `json:"group"`
 	From  uint64 `json:"from"`
+	Name  string `json:"name"`
 	To    uint64 `json:"to"`
 	Body  any    `json:"body"`
+	// Lineage is the sender's.
+	Lineage uint64 `json:"lineage,omitempty"`
+}
+
+// Message returns the message to the replica that the envelope is for.
+func (e Envelope) Message() ReceiveMsg {
+	return ReceiveMsg{From: e.From, Name: e.Name, Lineage: e.Lineage, Body: e.Body}
 }
 
 // Types lists the bodies in the order of the format.
 func Types() []any {
-	return []any{Envelope{}, Vote{}, VoteReply{}, Append{}, AppendReply{}, Install{}, Elect{}}
+	return []any{Envelope{}, Vote{}, VoteReply{}, Append{}, AppendReply{}, Install{}, Elect{}, Superseded{}}
 }
--- a/raft/commands.go
+++ b/raft/commands.go
@@ -52,12 +52,17 @@
 	Term   uint64
 }
 
-func (SaveCmd) raftCmd()     {}
-func (SnapshotCmd) raftCmd() {}
-func (SendCmd) raftCmd()     {}
-func (ApplyCmd) raftCmd()    {}
-func (RestoreCmd) raftCmd()  {}
-func (AcceptedCmd) raftCmd() {}
-func (RefusedCmd) raftCmd()  {}
-func (ReadyCmd) raftCmd()    {}
-func (LeaderCmd) raftCmd()   {}
+// SupersededCmd says that the group was rescued without this replica, which
+// must not go on.
+type SupersededCmd struct{ Lineage uint64 }
+
+func (SaveCmd) raftCmd()       {}
+func (SnapshotCmd) raftCmd()   {}
+func (SendCmd) raftCmd()       {}
+func (ApplyCmd) raftCmd()      {}
+func (RestoreCmd) raftCmd()    {}
+func (AcceptedCmd) raftCmd()   {}
+func (RefusedCmd) raftCmd()    {}
+func (ReadyCmd) raftCmd()      {}
+func (LeaderCmd) raftCmd()     {}
+func (SupersededCmd) raftCmd() {}
--- a/raft/entry.go
+++ b/raft/entry.go
@@ -19,6 +19,8 @@
 	Kind  Kind   `json:"kind,omitempty"`
 	Data  []byte `json:"data,omitempty"`
 	Peers []Peer `json:"peers,omitempty"`
+	// Lineage goes with Peers.
+	Lineage uint64 `json:"lineage,omitempty"`
 }
 
 // Snapshot is the state machine's state at one place in the log.
@@ -27,6 +29,8 @@
 	Term  uint64 `json:"term"`
 	Peers []Peer `json:"peers"`
 	Data  []byte `json:"data"`
+	// Lineage is the rescue that the state comes from, 0 before the first.
+	Lineage uint64 `json:"lineage,omitempty"`
 }
 
 // Peer is one replica; its ID belongs to one data folder.
--- a/raft/log.go
+++ b/raft/log.go
@@ -1,5 +1,7 @@
 package raft
 
+import "slices"
+
 // log holds the entries after the snapshot.
 type log struct {
 	snapshot Snapshot
@@ -68,22 +70,13 @@
 	l.snapshot = s
 }
 
-// peers returns the newest list of peers in the log.
-func (l *log) peers() ([]Peer, uint64) {
-	for i := len(l.entries) - 1; i >= 0; i-- {
-		if l.entries[i].Kind == Members {
-			return l.entries[i].Peers, l.entries[i].Index
-		}
-	}
-	return l.snapshot.Peers, l.snapshot.Index
-}
-
-// peersAt returns the list of peers that holds at an index.
-func (l *log) peersAt(index uint64) []Peer {
-	for i := len(l.entries) - 1; i >= 0; i-- {
-		if l.entries[i].Kind == Members && l.entries[i].Index <= index {
-			return l.entries[i].Peers
+// membersAt returns the entry with the list of peers that holds at an index.
+func (l *log) membersAt(index uint64) Entry {
+	for _, e := range slices.Backward(l.entries) {
+		if e.Kind == Members && e.Index <= index {
+			return e
 		}
 	}
-	return l.snapshot.Peers
+	s := l.snapshot
+	return Entry{Index: s.Index, Term: s.Term, Kind: Members, Peers: s.Peers, Lineage: s.Lineage}
 }
--- a/raft/members.go
+++ b/raft/members.go
@@ -8,7 +8,7 @@
 		return nil
 	}
 	m.log.snapshot.Peers = []Peer{p.WithLearner(false)}
-	m.peers, m.since = m.log.peers()
+	m.regroup()
 	return []Cmd{SnapshotCmd{Snapshot: m.log.snapshot}}
 }
 
@@ -65,7 +65,15 @@
 	m.peers = peers
 	m.since = m.log.last() + 1
 	m.track()
-	return m.appendEntries([]Entry{{Kind: Members, Peers: peers}})
+	return m.appendEntries([]Entry{{Kind: Members, Peers: peers, Lineage: m.lineage}})
+}
+
+// regroup takes the newest list of peers from the log.
+func (m *Model) regroup() {
+	newest := m.log.membersAt(m.log.last())
+	m.peers = newest.Peers
+	m.since = newest.Index
+	m.lineage = newest.Lineage
 }
 
 func replaced(old Peer, later []Peer) bool {
--- a/raft/messages.go
+++ b/raft/messages.go
@@ -11,7 +11,10 @@
 // ReceiveMsg is a message from another replica.
 type ReceiveMsg struct {
 	From uint64
-	Body any
+	// Name is the sender's; it is reached by it while no list of peers holds it.
+	Name    string
+	Lineage uint64
+	Body    any
 }
 
 // ProposeMsg asks to append data to the log.
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -38,16 +38,17 @@
 
 // Model is one replica; one loop owns it.
 type Model struct {
-	cfg    Config
-	at     time.Duration
-	role   Role
-	term   uint64
-	vote   uint64
-	leader uint64
-	log    *log
-	commit uint64
-	peers  []Peer
-	since  uint64 // index of the newest list of peers
+	cfg     Config
+	at      time.Duration
+	role    Role
+	term    uint64
+	vote    uint64
+	leader  uint64
+	log     *log
+	commit  uint64
+	peers   []Peer
+	since   uint64 // index of the newest list of peers
+	lineage uint64 // of that list
 
 	deadline  time.Duration // of the next election
 	heard     time.Duration // from a leader
@@ -96,7 +97,7 @@
 		commit: s.Snapshot.Index,
 		heard:  -cfg.Election,
 	}
-	m.peers, m.since = m.log.peers()
+	m.regroup()
 	m.deadline = m.patience()
 	return m
 }
@@ -116,6 +117,9 @@
 // First returns the index of the first entry after the snapshot.
 func (m Model) First() uint64 { return m.log.first() }
 
+// Lineage returns the rescue that the replica's log comes from, 0 before any.
+func (m Model) Lineage() uint64 { return m.lineage }
+
 // Peers returns the replicas of the newest list; the caller must not change it.
 func (m Model) Peers() []Peer { return m.peers }
 
@@ -157,6 +161,10 @@
 }
 
 func (m *Model) receive(msg ReceiveMsg) []Cmd {
+	if msg.Lineage < m.lineage && asks(msg.Body) {
+		to := Peer{ID: msg.From, Name: msg.Name}
+		return []Cmd{SendCmd{To: to, Body: Superseded{Lineage: m.lineage}}}
+	}
 	switch body := msg.Body.(type) {
 	case Vote:
 		return m.onVote(msg.From, body)
@@ -172,6 +180,10 @@
 		if body.Term == m.term && m.voter(m.cfg.ID) {
 			return m.campaign(false, true)
 		}
+	case Superseded:
+		if body.Lineage > m.lineage {
+			return []Cmd{SupersededCmd(body)}
+		}
 	}
 	return nil
 }
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -182,3 +182,50 @@
 		t.Errorf("sent %d times after it was missed", installs)
 	}
 }
+
+// TestSuperseded rescues a group from one of three replicas and lets a new one
+// join; the old majority that returns while the new one is lost stops by
+// itself and takes nothing back.
+func TestSuperseded(t *testing.T) {
+	w := newWorld(5, 3)
+	w.settle(3 * time.Second)
+	w.propose(w.leader())
+	w.settle(time.Second)
+	for _, id := range w.ids() {
+		w.replicas[id].down = true
+	}
+	rescued := w.replicas[3]
+	cmd, held := Rescue(rescued.disk, Peer{ID: 3, Name: "c3", Addr: "x"}, 0)
+	if !held {
+		t.Fatal("the survivor does not hold the group")
+	}
+	w.run(3, rescued, cmd)
+	w.crash(3)
+	w.settle(2 * time.Second)
+	w.add(9, State{})
+	w.tell(3, JoinMsg{Peer: Peer{ID: 9, Name: "c1", Addr: "x"}})
+	w.settle(2 * time.Second)
+	w.propose(w.leader())
+	w.settle(time.Second)
+	kept := w.best
+	w.replicas[9].down = true
+	w.crash(1)
+	w.crash(2)
+	w.settle(5 * time.Second)
+	for _, id := range []uint64{1, 2} {
+		if !w.replicas[id].down {
+			t.Errorf("replica %d goes on", id)
+		}
+	}
+	if held := w.replicas[3].model; held.Commit() < kept || w.broken != nil {
+		t.Errorf("committed up to %d, was %d: %v", held.Commit(), kept, w.broken)
+	}
+	w.crash(9)
+	w.settle(3 * time.Second)
+	before := w.best
+	w.propose(w.leader())
+	w.settle(time.Second)
+	if w.best <= before || w.broken != nil {
+		t.Errorf("no progress after the repair: %v", w.broken)
+	}
+}
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -117,7 +117,7 @@
 	fresh := m.fresh(a.Entries)
 	if len(fresh) > 0 {
 		m.log.append(fresh)
-		m.peers, m.since = m.log.peers()
+		m.regroup()
 		cmds = append(cmds, m.save(fresh))
 	}
 	reply.OK = true
@@ -242,7 +242,7 @@
 	if i.Snapshot.Index > m.commit {
 		m.log.reset(i.Snapshot)
 		m.commit = i.Snapshot.Index
-		m.peers, m.since = m.log.peers()
+		m.regroup()
 		reply.Match = m.commit
 		cmds = append(cmds, SnapshotCmd{Snapshot: i.Snapshot, Reset: true}, RestoreCmd{Snapshot: i.Snapshot})
 	}
@@ -254,7 +254,8 @@
 		return nil
 	}
 	term, _ := m.log.term(msg.Index)
-	s := Snapshot{Index: msg.Index, Term: term, Peers: m.log.peersAt(msg.Index), Data: msg.Data}
+	members := m.log.membersAt(msg.Index)
+	s := Snapshot{Index: msg.Index, Term: term, Peers: members.Peers, Lineage: members.Lineage, Data: msg.Data}
 	m.log.compact(s)
 	return []Cmd{SnapshotCmd{Snapshot: s}}
 }
