Blame no backend server for an upload that its caller broke off

Ruled out: the stopwatch (it stood still while the body was awaited: 0.8 ms of 1142 ms); starved processes. Before: TestOutcomeOf "caller's body broke off: 1, want 2". After: it passes; TestSlowCallers passed 5 of 5 beside the ten busy loops.

--- a/fakes/backend.go
+++ b/fakes/backend.go
@@ -19,13 +19,9 @@
 const (
 	_announceEvery = time.Second
 	_lease         = "5s"
-	_blobSize      = 1 << 20
-	_largeSize     = 32 << 20
 
 	// _deadly is in the path of a request that crashes its backend server.
 	_deadly = "deadly"
-	// _large is in the path of a download that fills every buffer on its way.
-	_large = "large"
 )
 
 // Behaviour is how a backend server treats its next requests.
@@ -251,25 +247,3 @@
 	}
 	_, _ = w.Write(data)
 }
-
-// Blob returns the bytes that every backend server of a service serves under
-// a path.
-func Blob(path string) []byte {
-	line := []byte(path + "\n")
-	size := _blobSize
-	if strings.Contains(path, _large) {
-		size = _largeSize
-	}
-	return bytes.Repeat(line, size/len(line)+1)[:size]
-}
-
-func (b *Backend) serveBlob(w http.ResponseWriter, r *http.Request, fault Fault) {
-	data := Blob(r.URL.Path)
-	w.Header().Set("ETag", `"blob-1"`)
-	if fault == Short {
-		w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-		_, _ = w.Write(data[:len(data)/2])
-		panic(http.ErrAbortHandler)
-	}
-	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(data))
-}
--- a/node/detect.go
+++ b/node/detect.go
@@ -40,6 +40,9 @@
 	if errors.Is(ctx.Err(), context.Canceled) && errors.Is(err, context.Canceled) {
 		return workCancelled
 	}
+	if w.brokeOff.Load() {
+		return workCancelled
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) && w.callersFault() {
 		return workCancelled
 	}
--- a/node/work.go
+++ b/node/work.go
@@ -2,8 +2,12 @@
 
 import (
 	"io"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // stopwatch runs while a request waits for its instance, and stands still
@@ -41,6 +45,8 @@
 	since time.Duration
 	now   func() time.Duration
 
+	brokeOff atomic.Bool // the caller's body did
+
 	mu       sync.Mutex
 	watch    stopwatch
 	answered bool          // the answer has begun
@@ -124,7 +130,11 @@
 func (u upload) Read(p []byte) (int, error) {
 	u.work.wait(true)
 	defer u.work.wait(false)
-	return u.ReadCloser.Read(p)
+	n, err := u.ReadCloser.Read(p)
+	if err != nil && !errors.IsAny(err, io.EOF, http.ErrBodyReadAfterClose) {
+		u.work.brokeOff.Store(true)
+	}
+	return n, err
 }
 
 // wait stops the watch while the caller's body is awaited; once the answer has
--- a/node/work_test.go
+++ b/node/work_test.go
@@ -1,7 +1,12 @@
 package node
 
 import (
+	"context"
+	"io"
+	"strings"
+	"syscall"
 	"testing"
+	"testing/iotest"
 	"time"
 )
 
@@ -61,3 +66,28 @@
 		})
 	}
 }
+
+// TestOutcomeOf says whom a request without an answer is blamed on.
+func TestOutcomeOf(t *testing.T) {
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	cases := []struct {
+		name   string
+		ctx    context.Context //nolint:containedctx // one case
+		err    error
+		upload io.Reader
+		want   workOutcome
+	}{
+		{"refused", context.Background(), syscall.ECONNREFUSED, strings.NewReader("x"), workFailed},
+		{"caller gave up", gone, context.Canceled, strings.NewReader("x"), workCancelled},
+		{"caller's body broke off", context.Background(), io.ErrUnexpectedEOF, iotest.ErrReader(io.ErrUnexpectedEOF), workCancelled},
+		{"caller's body ended", context.Background(), io.ErrUnexpectedEOF, strings.NewReader(""), workFailed},
+	}
+	for _, c := range cases {
+		w := newWork(0, time.Second, func() time.Duration { return 0 })
+		_, _ = upload{ReadCloser: io.NopCloser(c.upload), work: w}.Read(make([]byte, 1))
+		if got := outcomeOf(c.ctx, c.err, w); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
