Let one request of 256 ask how long an instance takes now

Cause: an ingress compares instances by a smoothed time that only an answer renews. An instance that was slow for ten requests lost every comparison from then on, as long as another one near by had a free slot: its capacity was gone for this ingress, and nothing could show that it was well.

Now one request of 256 takes the first usable instance drawn, and an old time counts less against a new one (half for each second of age). Ruled out: decay by the clock, which at a low rate sends a straggler far more than 1 % (the interval between its turns is a time, not a share): by reckoning, not by a run.

--- a/node/learn.go
+++ b/node/learn.go
@@ -57,7 +57,7 @@
 		}
 		// A failure that comes fast is no sign of speed.
 		if res.fate == retry.Ran && !l.Failing {
-			*l = l.WithTook(took)
+			*l = l.WithTook(e.server.now(), took)
 		}
 	})
 }
--- a/route/choose.go
+++ b/route/choose.go
@@ -24,6 +24,10 @@
 const (
 	_samples  = 2
 	_busyLife = time.Second
+
+	// _explore is one of how many requests goes to the first instance drawn,
+	// however long that took lately.
+	_explore = 256
 )
 
 // Request is what the choice needs to know.
@@ -78,7 +82,7 @@
 		if found == 1 || l.cost(r.At) < best.Load.cost(r.At) {
 			best = Choice{Candidate: c, Load: l}
 		}
-		if found == _samples {
+		if found == _samples || r.explores() {
 			break
 		}
 	}
@@ -86,6 +90,12 @@
 	return best, found > 0
 }
 
+// explores reports whether the request asks a drawn instance how long it takes
+// now; else one that was slow once would never be chosen again.
+func (r Request) explores() bool {
+	return r.Random>>16%_explore == _explore-1
+}
+
 // lastResort takes an avoided instance rather than none.
 func lastResort(p Pool, b *Book, r Request) (Choice, bool) {
 	for n := range p.Candidates {
--- a/route/load.go
+++ b/route/load.go
@@ -2,13 +2,19 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/damaskpitch/damaskpitch/view"
 )
 
-const _smooth = 0.2
+const (
+	_smooth = 0.2
+
+	// _tookHalfLife halves what an older time counts against a new one.
+	_tookHalfLife = time.Second
+)
 
 // Load is what an ingress knows of one instance, mostly from its answers.
 type Load struct {
@@ -26,6 +32,8 @@
 	// Blocked is the time until which the instance is avoided: its owner finds
 	// it sick, or cannot be reached.
 	Blocked time.Duration
+
+	learned time.Duration // when Took was last measured
 }
 
 // Book is what an ingress knows of a service's instances; one loop owns it.
@@ -90,13 +98,16 @@
 	return l
 }
 
-// WithTook returns the load with one more measured time.
-func (l Load) WithTook(took time.Duration) Load {
+// WithTook returns the load with one more measured time; what was measured long
+// before counts less.
+func (l Load) WithTook(at, took time.Duration) Load {
 	l.Last = took
 	if l.Took == 0 {
 		l.Took = took
-		return l
 	}
-	l.Took += time.Duration(_smooth * float64(took-l.Took))
+	age := float64(at-l.learned) / float64(_tookHalfLife)
+	old := (1 - _smooth) * math.Exp2(-age)
+	l.Took += time.Duration((1 - old) * float64(took-l.Took))
+	l.learned = at
 	return l
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -178,7 +178,7 @@
 	p := Pool{}
 	for _, k := range keys {
 		p.Candidates = append(p.Candidates, Candidate{Key: k})
-		b.Change(k, func(l *Load) { *l = l.WithTook(time.Millisecond) })
+		b.Change(k, func(l *Load) { *l = l.WithTook(0, time.Millisecond) })
 	}
 	for range 20 {
 		b.Change(keys[0], func(l *Load) { *l = l.WithAtLeast(3*HintOf(p, b).Median + 15*time.Millisecond) })
