Find stragglers among the two instances that an ingress knows

Cause: in both fleets a data centre has two instances of a service, and an ingress tells their owners the median of the times it knows. Of two it took the later one, which is the straggler's own: no straggler was ever ejected. The study did not show it, since it told each detector the service's exact median.

Now: the earlier one of two in the middle; a typical time that follows good answers, by 0.4 up and 0.15 down; a limit of 2 medians; and the instance's own smoothed time must be at two medians when the ejection is asked for.

--- a/judge/judge.go
+++ b/judge/judge.go
@@ -14,6 +14,8 @@
 	Failures Reason = "failures"
 	// Slow means that too many requests took long against the median.
 	Slow Reason = "slow"
+	// SlowBodies means that too many answers came slowly once they had begun.
+	SlowBodies Reason = "slow bodies"
 )
 
 const (
@@ -26,8 +28,9 @@
 	_sureEvidence  = 32.0
 	_mostEvidence  = 1.1
 
-	_slowFactor  = 2.5
+	_slowFactor  = 2.0
 	_slowMargin  = 10 * time.Millisecond
+	_paceMargin  = 100 * time.Millisecond // for a MiB
 	_evidenceAge = 5 * time.Second
 	_sharedCause = 0.5
 	_hintLife    = 10 * time.Second
@@ -63,8 +66,10 @@
 type Model struct {
 	cfg      Config
 	failures cusum
-	slow     cusum
+	slow     slowness
+	bodies   slowness
 	median   time.Duration
+	pace     time.Duration
 	failing  float64
 	hinted   time.Duration
 	askAt    time.Duration
@@ -116,8 +121,11 @@
 		m.worked = msg.At
 		m.failures = m.failures.add(_failureOdds, true, m.most())
 		return m.ask(msg.At)
+	case BodyMsg:
+		return m.body(msg).ask(msg.At)
 	case HintMsg:
-		m.median, m.failing, m.hinted = msg.Median, msg.Failing, msg.At
+		m.median, m.pace = msg.Median, msg.Pace
+		m.failing, m.hinted = msg.Failing, msg.At
 	case GrantMsg:
 		return m.grant(msg.At), nil
 	case DenyMsg:
@@ -137,7 +145,7 @@
 	// What began while the instance was cold is slow for that, whenever it ends.
 	warm := msg.At-msg.Took >= m.cfg.Warm
 	if limit, known := m.slowLimit(msg.At); known && warm && !msg.Failed {
-		m.slow = m.slow.add(_slowOdds, msg.Took > limit, m.most())
+		m.slow = m.slow.add(msg.Took, limit, m.most())
 	}
 	return m
 }
@@ -150,7 +158,17 @@
 		return m
 	}
 	m.worked = msg.At
-	m.slow = m.slow.add(_slowOdds, true, m.most())
+	m.slow = m.slow.add(msg.Ran, limit, m.most())
+	return m
+}
+
+// body compares how fast an answer came with the service's median.
+func (m Model) body(msg BodyMsg) Model {
+	if m.ejected || m.pace == 0 || msg.At >= m.hinted+_hintLife || msg.At < m.cfg.Warm {
+		return m
+	}
+	m.worked = msg.At
+	m.bodies = m.bodies.add(msg.Pace, limitOf(m.pace, _paceMargin), m.most())
 	return m
 }
 
@@ -160,7 +178,11 @@
 	if m.median == 0 || at >= m.hinted+_hintLife || at < m.cfg.Warm {
 		return 0, false
 	}
-	return max(time.Duration(_slowFactor*float64(m.median)), m.median+_slowMargin), true
+	return limitOf(m.median, _slowMargin), true
+}
+
+func limitOf(median, margin time.Duration) time.Duration {
+	return max(time.Duration(_slowFactor*float64(median)), median+margin)
 }
 
 // ask wants an ejection, but not for a cause that most instances share.
@@ -181,8 +203,10 @@
 	switch limit := m.limit(); {
 	case m.failures.sum >= limit:
 		return Failures, true
-	case m.slow.sum >= limit:
+	case m.slow.sick(limit, m.median):
 		return Slow, true
+	case m.bodies.sick(limit, m.pace):
+		return SlowBodies, true
 	}
 	return "", false
 }
@@ -225,7 +249,8 @@
 	m.until = at + m.hold
 	m.restored = 0
 	m.failures = cusum{}
-	m.slow = cusum{}
+	m.slow = slowness{}
+	m.bodies = slowness{}
 	return m
 }
 
@@ -257,6 +282,7 @@
 	}
 	m.worked = at
 	m.failures.sum /= 2
-	m.slow.sum /= 2
+	m.slow.evidence.sum /= 2
+	m.bodies.evidence.sum /= 2
 	return m
 }
--- a/judge/judge_test.go
+++ b/judge/judge_test.go
@@ -73,3 +73,41 @@
 		}
 	}
 }
+
+// TestSlowness finds an instance that is slow against the others, and none for
+// a time that they all share.
+func TestSlowness(t *testing.T) {
+	const pace = 20 * time.Millisecond
+	cases := []struct {
+		name   string
+		msg    func(at time.Duration) Msg
+		median time.Duration
+		pace   time.Duration
+		reason Reason
+	}{
+		{"straggler", func(at time.Duration) Msg { return WorkMsg{At: at, Took: 4 * _median} }, _median, pace, Slow},
+		{"as slow as all", func(at time.Duration) Msg { return WorkMsg{At: at, Took: 4 * _median} }, 4 * _median, pace, ""},
+		{"slow bodies", func(at time.Duration) Msg { return BodyMsg{At: at, Pace: 10 * pace} }, _median, pace, SlowBodies},
+		{"bodies within the margin", func(at time.Duration) Msg { return BodyMsg{At: at, Pace: 5 * pace} }, _median, pace, ""},
+		{"bodies as slow as all", func(at time.Duration) Msg { return BodyMsg{At: at, Pace: 10 * pace} }, _median, 10 * pace, ""},
+		{"bodies without a median", func(at time.Duration) Msg { return BodyMsg{At: at, Pace: 10 * pace} }, _median, 0, ""},
+	}
+	for _, c := range cases {
+		m := New(Config{Patience: spec.Quick})
+		var reason Reason
+		for n := range 20 {
+			at := time.Duration(n) * _gap
+			m, _ = m.Update(HintMsg{At: at, Median: c.median, Pace: c.pace})
+			var cmds []Cmd
+			m, cmds = m.Update(c.msg(at))
+			for _, cmd := range cmds {
+				if eject, ok := cmd.(EjectCmd); ok {
+					reason = eject.Reason
+				}
+			}
+		}
+		if reason != c.reason {
+			t.Errorf("%s: reason %q, want %q", c.name, reason, c.reason)
+		}
+	}
+}
--- a/judge/messages.go
+++ b/judge/messages.go
@@ -21,11 +21,20 @@
 // StallMsg says that a running request has passed the stall limit once more.
 type StallMsg struct{ At time.Duration }
 
+// BodyMsg is one answer long enough to tell how fast its body came.
+type BodyMsg struct {
+	At time.Duration
+	// Pace is the time for each MiB.
+	Pace time.Duration
+}
+
 // HintMsg is what an ingress sees of the whole service.
 type HintMsg struct {
 	At time.Duration
 	// Median is the service's median time of a request.
 	Median time.Duration
+	// Pace is the service's median time for a MiB of an answer's body, or 0.
+	Pace time.Duration
 	// Failing is the share of instances whose last answers failed.
 	Failing float64
 }
@@ -46,6 +55,7 @@
 func (WorkMsg) judgeMsg()   {}
 func (CancelMsg) judgeMsg() {}
 func (StallMsg) judgeMsg()  {}
+func (BodyMsg) judgeMsg()   {}
 func (HintMsg) judgeMsg()   {}
 func (GrantMsg) judgeMsg()  {}
 func (DenyMsg) judgeMsg()   {}
--- a/route/load.go
+++ b/route/load.go
@@ -10,7 +10,9 @@
 )
 
 const (
-	_smooth = 0.2
+	_smooth     = 0.2
+	_followUp   = 0.4
+	_followDown = 0.15
 
 	// _tookHalfLife halves what an older time counts against a new one.
 	_tookHalfLife = time.Second
@@ -24,9 +26,13 @@
 	// the time Told.
 	Busy int
 	Told time.Duration
-	// Took is the smoothed time of a request, and Last the latest one.
+	// Took is the smoothed time of a request, also of those that were given up.
 	Took time.Duration
-	Last time.Duration
+	// Good is the smoothed time of good answers; it follows sooner than Took.
+	Good time.Duration
+	// Pace is the instance's smoothed time for a MiB of an answer's body, as its
+	// owner told it, or 0.
+	Pace time.Duration
 	// Failing says that the last answer was a failure.
 	Failing bool
 	// Blocked is the time until which the instance is avoided: its owner finds
@@ -90,7 +96,7 @@
 }
 
 // WithAtLeast returns the load after a request that was given up after a time:
-// it would have taken longer. The latest time stays, as nothing was answered.
+// it would have taken longer. The time of good answers stays, as nothing was answered.
 func (l Load) WithAtLeast(ran time.Duration) Load {
 	if ran > l.Took {
 		l.Took += time.Duration(_smooth * float64(ran-l.Took))
@@ -101,13 +107,27 @@
 // WithTook returns the load with one more measured time; what was measured long
 // before counts less.
 func (l Load) WithTook(at, took time.Duration) Load {
-	l.Last = took
 	if l.Took == 0 {
 		l.Took = took
 	}
+	if l.Good == 0 {
+		l.Good = max(took, 1)
+	}
+	l.Good = follow(l.Good, max(took, 1))
 	age := float64(at-l.learned) / float64(_tookHalfLife)
 	old := (1 - _smooth) * math.Exp2(-age)
 	l.Took += time.Duration((1 - old) * float64(took-l.Took))
 	l.learned = at
 	return l
 }
+
+// follow moves a typical time by a share of the ratio to a new one, and sooner
+// up than down: when all instances slow down at once, none must look slow
+// against the others of a moment ago.
+func follow(typical, took time.Duration) time.Duration {
+	share := _followDown
+	if took > typical {
+		share = _followUp
+	}
+	return time.Duration(float64(typical) * math.Pow(float64(took)/float64(typical), share))
+}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -162,7 +162,7 @@
 	p := pool(20, 39)
 	book := NewBook()
 	for n, c := range p.Candidates {
-		book.Change(c.Key, func(l *Load) { l.Last = time.Duration(n) })
+		book.Change(c.Key, func(l *Load) { l.Good = time.Duration(n) })
 	}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/study/instance.go
+++ b/study/instance.go
@@ -12,8 +12,7 @@
 const (
 	_took         = 20 * time.Millisecond
 	_timeout      = 10 * time.Second
-	_hintLag      = time.Second
-	_hintEvery    = 500 * time.Millisecond
+	_hintEvery    = 100 * time.Millisecond
 	_stallFactor  = 8
 	_quickStall   = 500 * time.Millisecond
 	_sureStall    = 2 * time.Second
@@ -27,6 +26,7 @@
 	ill      Ill
 	sick     bool
 	rng      *rand.Rand
+	ingress  *near
 	judge    judge.Model
 	born     time.Duration
 	next     time.Duration   // when the next request comes
@@ -44,14 +44,15 @@
 	stalls time.Duration
 }
 
-func newInstance(cfg Config, n int, rng *rand.Rand) *instance {
+func newInstance(cfg Config, n int, rng *rand.Rand, ingress *near) *instance {
 	i := &instance{
-		cfg: cfg, id: name(n), rng: rng, firstBad: -1,
+		cfg: cfg, id: name(n), rng: rng, ingress: ingress, firstBad: -1,
 		free: make([]time.Duration, cfg.Slots),
 	}
 	if n < max(cfg.Sick, 1) && cfg.Onset > 0 {
 		i.ill, i.sick = cfg.Ill, true
 	}
+	ingress.add(i.id)
 	i.restart(0)
 	return i
 }
@@ -88,14 +89,13 @@
 	return cmds
 }
 
-// hint tells the detector what ingresses saw of the service a little ago.
+// hint tells the detector what the ingress saw of the data centre.
 func (i *instance) hint(now time.Duration, tell func(judge.Msg)) {
 	if now < i.nextHint {
 		return
 	}
 	i.nextHint = now + _hintEvery
-	slow := i.cfg.Noise.spike(max(0, now-_hintLag))
-	tell(judge.HintMsg{At: now, Median: time.Duration(slow * float64(_took))})
+	tell(i.ingress.hint(now))
 }
 
 func (i *instance) arrive(at time.Duration) {
@@ -155,7 +155,9 @@
 			kept = append(kept, q)
 			continue
 		}
-		tell(judge.WorkMsg{At: now, Took: q.end - q.start, Failed: q.failed})
+		msg := judge.WorkMsg{At: now, Took: q.end - q.start, Failed: q.failed}
+		i.ingress.learn(i.id, msg)
+		tell(msg)
 	}
 	i.open = kept
 }
--- a/study/study.go
+++ b/study/study.go
@@ -15,6 +15,7 @@
 	_defaultSlots     = 4
 	_defaultInstances = 8
 	_defaultFloor     = 6
+	_defaultNear      = 2
 	_tick             = 50 * time.Millisecond
 )
 
@@ -36,8 +37,11 @@
 	// Slots is the number of requests that an instance runs at a time.
 	Slots     int
 	Instances int
-	Floor     int
-	Seed      uint64
+	// Near is the number of instances in each data centre, which an ingress
+	// compares.
+	Near  int
+	Floor int
+	Seed  uint64
 }
 
 // Result is what one run came to.
@@ -65,9 +69,13 @@
 func Run(cfg Config) Result {
 	cfg = cfg.withDefaults()
 	s := &service{cfg: cfg, arbiter: floor.New(cfg.Floor), result: Result{Least: cfg.Instances}}
+	var ingress *near
 	for n := range cfg.Instances {
+		if n%cfg.Near == 0 {
+			ingress = newNear()
+		}
 		rng := rand.New(rand.NewPCG(cfg.Seed, uint64(n)))
-		i := newInstance(cfg, n, rng)
+		i := newInstance(cfg, n, rng, ingress)
 		s.instances = append(s.instances, i)
 		s.arbiter, _ = s.arbiter.Update(floor.JoinMsg{ID: i.id})
 	}
@@ -123,6 +131,9 @@
 		c.Instances = _defaultInstances
 		c.Floor = _defaultFloor
 	}
+	if c.Near == 0 {
+		c.Near = _defaultNear
+	}
 	if c.Noise.Name == "" {
 		c.Noise = Calm()
 	}
--- a/trials/gray_test.go
+++ b/trials/gray_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,7 +22,7 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	for n := range 6 {
-		go f.hammer(n%2, stop)
+		go f.hammer(n%2, "/check", stop)
 	}
 	f.eventually("ejection", func() error { return f.ejected(1) })
 	// What was on its way when the ejection was granted may still arrive.
@@ -40,6 +41,42 @@
 	})
 }
 
+// TestStraggler lets one of three instances answer ten times slower than the
+// other one in its data centre: it is ejected.
+func TestStraggler(t *testing.T) {
+	f, a, b := ready(t)
+	c := f.backend("lookup-3", "lookup", 0)
+	f.awaitInstances(3)
+	for _, server := range []*fakes.Backend{a, b} {
+		server.Behave(fakes.Behaviour{Delay: 20 * time.Millisecond})
+	}
+	c.Behave(fakes.Behaviour{Delay: 200 * time.Millisecond})
+	stop := make(chan struct{})
+	defer close(stop)
+	for n := range 6 {
+		go f.hammer(n%2, "/check", stop)
+	}
+	f.awaitEjection("lookup-3")
+}
+
+// awaitEjection waits until one instance is ejected, and no other is before it.
+func (f *fleet) awaitEjection(id string) {
+	f.eventually("ejection", func() error {
+		var status ctrl.FleetStatus
+		if err := f.get(0, "/v1/status", &status); err != nil {
+			return err
+		}
+		ejected := status.Services[0].Ejected
+		if len(ejected) == 0 {
+			return errors.New("none ejected")
+		}
+		if len(ejected) != 1 || !strings.HasSuffix(ejected[0], "/"+id) {
+			f.t.Fatalf("ejected %v", ejected)
+		}
+		return nil
+	})
+}
+
 // TestSharedFault fails every instance at once: none is ejected.
 func TestSharedFault(t *testing.T) {
 	f, a, b := ready(t)
@@ -51,7 +88,7 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	for n := range 6 {
-		go f.hammer(n%2, stop)
+		go f.hammer(n%2, "/check", stop)
 	}
 	for range 30 {
 		time.Sleep(100 * time.Millisecond)
@@ -61,13 +98,13 @@
 	}
 }
 
-func (f *fleet) hammer(node int, stop <-chan struct{}) {
+func (f *fleet) hammer(node int, path string, stop <-chan struct{}) {
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
 			return
 		default:
-			_, _ = f.ask(node, fmt.Sprintf("/check/%d", n))
+			_, _ = f.ask(node, fmt.Sprint(path, "/", n))
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
