Find backend servers that begin their bodies at once and send them slowly

Cause: an owner measured the time until an answer begins, and gaps as long as the stall limit.

Ruled out: the whole body's time (a large one is judged too late). The choice of an instance does not weigh the pace.

--- a/fakes/backend.go
+++ b/fakes/backend.go
@@ -28,6 +28,8 @@
 type Behaviour struct {
 	// Delay is added to each request.
 	Delay time.Duration
+	// Drip is waited before each piece of a download but the first.
+	Drip time.Duration
 	// Status is answered instead of 200 when it is set.
 	Status int
 	// Share is the part of the requests that Status and Delay apply to; 0
@@ -222,7 +224,7 @@
 		return
 	}
 	if strings.HasPrefix(r.URL.Path, "/blob") {
-		b.serveBlob(w, r, how.Fault)
+		b.serveBlob(w, r, how)
 		return
 	}
 	b.answer(w, r, how, string(body))
--- a/fakes/blob.go
+++ b/fakes/blob.go
@@ -31,6 +31,7 @@
 	line []byte
 	size int64
 	at   int64
+	drip time.Duration
 }
 
 func newBlob(path string) *blob {
@@ -46,6 +47,9 @@
 	if b.at >= b.size {
 		return 0, io.EOF
 	}
+	if b.at > 0 {
+		time.Sleep(b.drip)
+	}
 	p = p[:min(int64(len(p)), b.size-b.at)]
 	for n := 0; n < len(p); {
 		n += copy(p[n:], b.line[(b.at+int64(n))%int64(len(b.line)):])
@@ -69,10 +73,11 @@
 	return offset, nil
 }
 
-func (b *Backend) serveBlob(w http.ResponseWriter, r *http.Request, fault Fault) {
+func (b *Backend) serveBlob(w http.ResponseWriter, r *http.Request, how Behaviour) {
 	data := newBlob(r.URL.Path)
+	data.drip = how.Drip
 	w.Header().Set("ETag", `"blob-1"`)
-	if fault == Short {
+	if how.Fault == Short {
 		w.Header().Set("Content-Length", strconv.FormatInt(data.size, 10))
 		_, _ = io.CopyN(w, data, data.size/2)
 		panic(http.ErrAbortHandler)
--- a/node/backend.go
+++ b/node/backend.go
@@ -29,6 +29,7 @@
 	patience  spec.Patience
 	judge     judge.Model
 	running   map[ledger.Ref]*work
+	pace      time.Duration // smoothed, for a MiB of an answer's body, or 0
 	transport *http.Transport
 }
 
--- a/node/detect.go
+++ b/node/detect.go
@@ -23,6 +23,7 @@
 	_stallFactor = 8
 	_quickStall  = 500 * time.Millisecond
 	_sureStall   = 2 * time.Second
+	_paceSmooth  = 0.2
 )
 
 // workOutcome is how a request at an instance ended.
@@ -75,6 +76,7 @@
 		s.aboard.Well(w.print, s.now())
 	}
 	delete(b.running, ref)
+	s.judgeBody(b, w)
 	if outcome == workCancelled {
 		s.judgeLocked(b, judge.CancelMsg{At: s.now(), Ran: w.instanceTime()})
 		return
@@ -87,7 +89,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if b := s.backs[id]; b != nil {
-		s.judgeLocked(b, judge.HintMsg{At: s.now(), Median: h.Median, Failing: h.Failing})
+		s.judgeLocked(b, judge.HintMsg{At: s.now(), Median: h.Median, Pace: h.Pace, Failing: h.Failing})
 	}
 }
 
@@ -100,11 +102,25 @@
 			if w.stalled(b.stall(b.judge.Median())) {
 				s.judgeLocked(b, judge.StallMsg{At: s.now()})
 			}
+			s.judgeBody(b, w)
 		}
 		s.judgeLocked(b, judge.ClockMsg{At: s.now()})
 	}
 }
 
+// judgeBody takes a request's pace, once it is known.
+func (s *Server) judgeBody(b *backend, w *work) {
+	pace, ok := w.takePace()
+	if !ok {
+		return
+	}
+	if b.pace == 0 {
+		b.pace = pace
+	}
+	b.pace += time.Duration(_paceSmooth * float64(pace-b.pace))
+	s.judgeLocked(b, judge.BodyMsg{At: s.now(), Pace: pace})
+}
+
 func (b *backend) stall(median time.Duration) time.Duration {
 	least := _sureStall
 	if b.patience == spec.Quick {
--- a/node/header.go
+++ b/node/header.go
@@ -37,6 +37,7 @@
 	_headerFate     = _prefix + "Fate"
 	_headerLoad     = _prefix + "Load"
 	_headerTook     = _prefix + "Took"
+	_headerPace     = _prefix + "Pace"
 	_headerPrint    = _prefix + "Print"
 	_headerSick     = _prefix + "Sick"
 )
@@ -83,20 +84,35 @@
 }
 
 func formatHint(h route.Hint) string {
-	return strconv.FormatInt(h.Median.Microseconds(), 10) + " " + strconv.FormatFloat(h.Failing, 'f', 2, 64)
+	return strings.Join([]string{
+		formatMicros(h.Median),
+		strconv.FormatFloat(h.Failing, 'f', 2, 64),
+		formatMicros(h.Pace),
+	}, " ")
 }
 
+// parseHint takes a hint; nodes of an earlier version tell no pace.
 func parseHint(text string) (route.Hint, bool) {
-	median, failing, _ := strings.Cut(text, " ")
-	micros, err := strconv.ParseInt(median, 10, 64)
-	if err != nil {
+	fields := strings.Fields(text)
+	if len(fields) < 2 {
 		return route.Hint{}, false
 	}
-	share, err := strconv.ParseFloat(failing, 64)
-	if err != nil {
-		return route.Hint{}, false
+	median, ok := parseMicros(fields[0])
+	failing, err := strconv.ParseFloat(fields[1], 64)
+	hint := route.Hint{Median: median, Failing: failing}
+	if len(fields) > 2 {
+		hint.Pace, _ = parseMicros(fields[2])
 	}
-	return route.Hint{Median: time.Duration(micros) * time.Microsecond, Failing: share}, true
+	return hint, ok && err == nil
+}
+
+func formatMicros(d time.Duration) string {
+	return strconv.FormatInt(d.Microseconds(), 10)
+}
+
+func parseMicros(text string) (time.Duration, bool) {
+	n, err := strconv.ParseInt(text, 10, 64)
+	return time.Duration(n) * time.Microsecond, err == nil
 }
 
 func formatMillis(d time.Duration) string {
--- a/node/learn.go
+++ b/node/learn.go
@@ -52,8 +52,11 @@
 		busy, _, _ := strings.Cut(res.response.Header.Get(_headerLoad), "/")
 		l.Busy, _ = strconv.Atoi(busy)
 		l.Told = e.server.now()
-		if micros, err := strconv.ParseInt(res.response.Header.Get(_headerTook), 10, 64); err == nil {
-			took = time.Duration(micros) * time.Microsecond
+		if told, ok := parseMicros(res.response.Header.Get(_headerTook)); ok {
+			took = told
+		}
+		if pace, ok := parseMicros(res.response.Header.Get(_headerPace)); ok {
+			l.Pace = pace
 		}
 		// A failure that comes fast is no sign of speed.
 		if res.fate == retry.Ran && !l.Failing {
--- a/node/reply.go
+++ b/node/reply.go
@@ -33,7 +33,7 @@
 		out[name] = values
 	}
 	out.Set(_headerFate, string(retry.Ran))
-	out.Set(_headerTook, strconv.FormatInt(w.instanceTime().Microseconds(), 10))
+	out.Set(_headerTook, formatMicros(w.instanceTime()))
 	if response.ContentLength >= 0 {
 		out.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
@@ -65,6 +65,7 @@
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
+			running.read(n)
 			wrote := running.writing(func() error {
 				_, werr := w.Write(buffer[:n])
 				return errors.CombineErrors(werr, flusher.Flush())
@@ -100,7 +101,14 @@
 	defer s.mu.Unlock()
 	load := s.gate.Load(j.id, s.now())
 	j.w.Header().Set(_headerLoad, strconv.Itoa(load.Running+load.Queued)+"/"+strconv.Itoa(load.Slots))
-	if b := s.backs[j.id]; b != nil && b.judge.Sick() {
+	b := s.backs[j.id]
+	if b == nil {
+		return
+	}
+	if b.judge.Sick() {
 		j.w.Header().Set(_headerSick, "1")
 	}
+	if b.pace > 0 {
+		j.w.Header().Set(_headerPace, formatMicros(b.pace))
+	}
 }
--- a/node/work.go
+++ b/node/work.go
@@ -10,6 +10,13 @@
 	"github.com/cockroachdb/errors"
 )
 
+const (
+	_mebibyte = 1 << 20
+
+	// _paceSize is how much of an answer tells its pace.
+	_paceSize = 256 << 10
+)
+
 // stopwatch runs while a request waits for its instance, and stands still
 // while it waits for its caller.
 type stopwatch struct {
@@ -53,6 +60,8 @@
 	took     time.Duration // until then
 	stalls   time.Duration // on the watch, when it counts as a stall next
 	patience time.Duration
+	size     int64         // of the answer's body so far
+	pace     time.Duration // for a MiB of it, until it is taken
 }
 
 func newWork(mark uint64, patience time.Duration, now func() time.Duration) *work {
@@ -81,6 +90,27 @@
 	return w.watch.elapsed(w.now())
 }
 
+// read notes a piece of the answer's body.
+func (w *work) read(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.size
+	w.size += int64(n)
+	if before < _paceSize && w.size >= _paceSize {
+		body := w.watch.elapsed(w.now()) - w.took
+		w.pace = max(1, time.Duration(float64(body)*_mebibyte/float64(w.size)))
+	}
+}
+
+// takePace returns the pace of the answer's body once.
+func (w *work) takePace() (time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	pace := w.pace
+	w.pace = 0
+	return pace, pace > 0
+}
+
 // callersFault reports whether most of the time went by in waiting for the
 // caller.
 func (w *work) callersFault() bool {
--- a/node/work_test.go
+++ b/node/work_test.go
@@ -91,3 +91,29 @@
 		}
 	}
 }
+
+// TestPace tells the time for a MiB of a body, without what the caller took.
+func TestPace(t *testing.T) {
+	var now time.Duration
+	w := newWork(0, time.Second, func() time.Duration { return now })
+	now += 5 * time.Millisecond
+	w.begun()
+	for range 8 {
+		if pace, ok := w.takePace(); ok {
+			t.Fatalf("pace %v of %d bytes", pace, w.size)
+		}
+		now += 10 * time.Millisecond
+		w.read(_paceSize / 8)
+		_ = w.writing(func() error {
+			now += time.Second
+			return nil
+		})
+	}
+	pace, ok := w.takePace()
+	if want := 80 * time.Millisecond * _mebibyte / _paceSize; !ok || pace != want {
+		t.Errorf("pace %v, want %v", pace, want)
+	}
+	if _, again := w.takePace(); again {
+		t.Error("the pace is told twice")
+	}
+}
