The bootstrap host of more than seven hosts does not depend on their order

Cause: the fleet group's voters were the first five of the list as each host's settings give it, and the bootstrap host the first of these by name, so hosts with different lists chose different ones. TestBootstrapHost failed before for each of 8 to 30 hosts and passes now.

--- a/place/place.go
+++ b/place/place.go
@@ -34,22 +34,22 @@
 }
 
 // Voters returns the voting hosts of a group. All hosts vote in the fleet group, or
-// the first five if there are more than seven. In a claim group, three hosts chosen by
-// rendezvous hashing vote, in different data centres as far as there are enough of
-// them.
+// five of them if there are more than seven: the first by name, in different data
+// centres as far as there are enough of them. In a claim group, three hosts chosen by
+// rendezvous hashing vote, spread in the same way. Beyond seven hosts the choice does
+// not depend on the order of the list.
 func Voters(group uint32, hosts []Host) []Host {
 	if group != FleetGroup {
-		return rendezvousVoters(group, hosts)
+		return spread(rank(group, hosts), _claimVoters)
 	}
 	if len(hosts) <= _maxAllVoting {
 		return hosts
 	}
-	return hosts[:_fleetVoters]
+	return spread(slices.SortedFunc(slices.Values(hosts), compareNames), _fleetVoters)
 }
 
-// BootstrapHost returns the name of the only host that may bootstrap a group. It
-// depends on the order of the list only for the fleet group with more than seven
-// hosts, whose voters do. The host that bootstraps a group is its first leader, so the
+// BootstrapHost returns the name of the only host that may bootstrap a group, whatever
+// the order of the list. The host that bootstraps a group is its first leader, so the
 // choice also balances leaders over the hosts.
 func BootstrapHost(group uint32, hosts []Host) string {
 	voters := Voters(group, hosts)
@@ -59,14 +59,19 @@
 	if group != FleetGroup {
 		return voters[0].Name
 	}
-	return slices.MinFunc(voters, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) }).Name
+	return slices.MinFunc(voters, compareNames).Name
 }
 
-func rendezvousVoters(group uint32, hosts []Host) []Host {
-	ranked := slices.Clone(hosts)
-	slices.SortFunc(ranked, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(score(group, b), score(group, a)), cmp.Compare(a.Name, b.Name))
+// rank orders the hosts for a group by rendezvous hashing.
+func rank(group uint32, hosts []Host) []Host {
+	return slices.SortedFunc(slices.Values(hosts), func(a, b Host) int {
+		return cmp.Or(cmp.Compare(score(group, b), score(group, a)), compareNames(a, b))
 	})
+}
+
+// spread returns the first n hosts, passing over those whose data centre has one
+// already as long as there are others.
+func spread(ranked []Host, n int) []Host {
 	var chosen, rest []Host
 	for _, h := range ranked {
 		sameCenter := func(c Host) bool { return c.Center == h.Center }
@@ -77,7 +82,11 @@
 		chosen = append(chosen, h)
 	}
 	chosen = append(chosen, rest...)
-	return chosen[:min(_claimVoters, len(chosen))]
+	return chosen[:min(n, len(chosen))]
+}
+
+func compareNames(a, b Host) int {
+	return cmp.Compare(a.Name, b.Name)
 }
 
 func score(group uint32, h Host) uint64 {
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -102,9 +102,9 @@
 	}
 }
 
-// TestBootstrapHost checks that the bootstrap host of a claim group, or of the fleet
-// group with five hosts, does not depend on the order of the hosts, and that none of 30
-// hosts bootstraps more than a sixth of 64 claim groups.
+// TestBootstrapHost checks that the bootstrap host of a group does not depend on the
+// order of the hosts, and that none of 30 hosts bootstraps more than a sixth of 64 claim
+// groups.
 func TestBootstrapHost(t *testing.T) {
 	list := hosts(30)
 	reversed := slices.Clone(list)
@@ -120,6 +120,11 @@
 	if name, other := BootstrapHost(FleetGroup, list[:5]), BootstrapHost(FleetGroup, reversed[25:]); name != other || name != "c0" {
 		t.Errorf("the fleet group has bootstrap hosts %s and %s, want c0", name, other)
 	}
+	for n := 1; n <= len(list); n++ {
+		if name, other := BootstrapHost(FleetGroup, list[:n]), BootstrapHost(FleetGroup, reversed[len(list)-n:]); name != other {
+			t.Errorf("the fleet group of %d hosts has bootstrap hosts %s and %s", n, name, other)
+		}
+	}
 	for name, n := range bootstrapped {
 		if n > _groups/6 {
 			t.Errorf("%s bootstraps %d of %d groups", name, n, _groups)
