Ejections keep a declared share, and end when another instance goes

Cause 1 (found by reading): store's arbiters took a service's floor alone, never its share, which is all that a plan's services have. The arbiter now keeps both, and ends the ejections that would end first while too few are healthy; the owner learns it from the view, by the revision of its grant. TestEjectionsKeepShare, TestEjectionEndsWhenAnotherLeaves and the wider TestFloorInvariant check it; the latter found that a cold instance whose ejection ends does not count yet.

--- a/detect/detect.go
+++ b/detect/detect.go
@@ -131,6 +131,8 @@
 		return m.onGrant(msg.At), nil
 	case DenyMsg:
 		return m.onDeny(msg), nil
+	case RestoredMsg:
+		return m.onRestored(msg.At), nil
 	case ClockMsg:
 		return m.onClock(msg.At)
 	}
@@ -274,14 +276,21 @@
 
 func (m Model) onClock(at time.Duration) (Model, []Cmd) {
 	if m.ejected && at >= m.ejectedUntil {
-		m.ejected = false
-		m.restoredAt = at
-		m.cfg.WarmAt = at + m.cfg.Warmup
-		return m, []Cmd{RestoreCmd{}}
+		return m.onRestored(at), []Cmd{RestoreCmd{}}
 	}
 	return m.decayEvidence(at).requestEjection(at)
 }
 
+func (m Model) onRestored(at time.Duration) Model {
+	if !m.ejected {
+		return m
+	}
+	m.ejected = false
+	m.restoredAt = at
+	m.cfg.WarmAt = at + m.cfg.Warmup
+	return m
+}
+
 // decayEvidence halves old evidence: an instance without work shows nothing new.
 func (m Model) decayEvidence(at time.Duration) Model {
 	if at < m.evidenceAt+_evidenceHalfLife {
--- a/detect/messages.go
+++ b/detect/messages.go
@@ -57,6 +57,10 @@
 	RetrySoon bool
 }
 
+// RestoredMsg reports that the arbiter ended the ejection early, since the service has
+// too few other healthy instances.
+type RestoredMsg struct{ At time.Duration }
+
 // ClockMsg advances the clock.
 type ClockMsg struct{ At time.Duration }
 
@@ -67,6 +71,7 @@
 func (StatsMsg) detectMsg()    {}
 func (GrantMsg) detectMsg()    {}
 func (DenyMsg) detectMsg()     {}
+func (RestoredMsg) detectMsg() {}
 func (ClockMsg) detectMsg()    {}
 
 // Cmd is a decision of the detector.
--- a/floor/floor.go
+++ b/floor/floor.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -42,6 +43,7 @@
 // Model is the arbiter of one service. It is not safe for concurrent use.
 type Model struct {
 	Floor     int                      `json:"floor"`
+	Share     float64                  `json:"share,omitempty"`
 	Instances map[string]InstanceState `json:"known"`
 }
 
@@ -61,6 +63,11 @@
 	return n
 }
 
+// Minimum returns how many instances must stay healthy after an ejection.
+func (m Model) Minimum() int {
+	return max(m.Floor, int(math.Ceil(m.Share*float64(len(m.Instances)))))
+}
+
 // Ejected returns the ejected instances, sorted by name.
 func (m Model) Ejected() []string {
 	var ids []string
@@ -76,17 +83,17 @@
 func (m Model) Update(msg Msg) (Model, []Cmd) {
 	switch msg := msg.(type) {
 	case SetFloorMsg:
-		m.Floor = msg.Floor
-		return m, nil
+		m.Floor, m.Share = msg.Floor, msg.Share
+		return m.endEjections(msg.At)
 	case JoinMsg:
 		return m.join(msg), nil
 	case LeaveMsg:
-		return m.edit(msg.ID, func(s *InstanceState) { s.Leaving = true }), nil
+		return m.edit(msg.ID, func(s *InstanceState) { s.Leaving = true }).endEjections(msg.At)
 	case ReachabilityMsg:
-		return m.edit(msg.ID, func(s *InstanceState) { s.Unreachable = msg.Unreachable }), nil
+		return m.edit(msg.ID, func(s *InstanceState) { s.Unreachable = msg.Unreachable }).endEjections(msg.At)
 	case RemoveMsg:
 		delete(m.Instances, msg.ID)
-		return m, nil
+		return m.endEjections(msg.At)
 	case EjectMsg:
 		return m.eject(msg)
 	case RestoreMsg:
@@ -146,12 +153,12 @@
 		}
 	}
 	switch {
-	case s.EjectedUntil > 0 && remaining >= m.Floor:
+	case s.EjectedUntil > 0 && remaining >= m.Minimum():
 		// A renewal needs no confirmation.
 		return ""
 	case requesting > 1 && requesting > len(m.Instances)/_sharedCauseDivisor:
 		return SharedCause
-	case remaining < m.Floor:
+	case remaining < m.Minimum():
 		return AtFloor
 	case msg.At < s.FirstRequest+msg.Confirm:
 		return Unconfirmed
@@ -183,6 +190,39 @@
 	return m, cmds
 }
 
+// endEjections ends ejections, those that would expire first before others, until
+// enough instances are healthy. Instances that could not work anyway stay ejected.
+func (m Model) endEjections(at time.Duration) (Model, []Cmd) {
+	var cmds []Cmd
+	// A cold instance does not count as healthy yet when its ejection ends.
+	for m.Healthy(at) < m.Minimum() {
+		id, ok := m.nextToRestore()
+		if !ok {
+			break
+		}
+		var restored []Cmd
+		m, restored = m.restore(id)
+		cmds = append(cmds, restored...)
+	}
+	return m, cmds
+}
+
+// nextToRestore returns the ejected instance whose ejection expires first among those
+// that could work, or false if there is none.
+func (m Model) nextToRestore() (string, bool) {
+	next, found := "", false
+	for _, id := range m.Ejected() {
+		s := m.Instances[id]
+		if s.Leaving || s.Unreachable {
+			continue
+		}
+		if !found || s.EjectedUntil < m.Instances[next].EjectedUntil {
+			next, found = id, true
+		}
+	}
+	return next, found
+}
+
 // request records an ejection request.
 func (s InstanceState) request(at time.Duration) InstanceState {
 	if !s.requested(at) {
--- a/floor/floor_test.go
+++ b/floor/floor_test.go
@@ -9,25 +9,41 @@
 
 // TestFloorInvariant checks that under any interleaving of joins, leaves, host
 // failures, cold instances, ejections and expired leases, a granted or renewed
-// ejection never leaves fewer healthy instances than the floor.
+// ejection never leaves fewer healthy instances than the floor, and that no instance
+// that could work stays ejected after the loss of another one below the floor.
 func TestFloorInvariant(t *testing.T) {
 	ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
 	rapid.Check(t, func(t *rapid.T) {
 		m := New(rapid.IntRange(0, 8).Draw(t, "floor"))
+		m.Share = rapid.Float64Range(0, 1).Draw(t, "share")
 		var now time.Duration
 		for range 120 {
 			id := rapid.SampledFrom(ids).Draw(t, "id")
 			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "wait")) * time.Millisecond
-			for _, cmd := range apply(&m, message(t, id, now)) {
+			msg := message(t, id, now)
+			for _, cmd := range apply(&m, msg) {
 				granted, ok := cmd.(GrantedCmd)
-				if ok && m.Healthy(now) < m.Floor {
-					t.Fatalf("%d healthy of a floor of %d after %+v", m.Healthy(now), m.Floor, granted)
+				if ok && m.Healthy(now) < m.Minimum() {
+					t.Fatalf("%d healthy of a floor of %d after %+v", m.Healthy(now), m.Minimum(), granted)
 				}
 			}
+			if next, ok := m.nextToRestore(); ok && losesInstance(msg) && m.Healthy(now) < m.Minimum() {
+				t.Fatalf("%s stays ejected with %d healthy of a floor of %d after %+v", next, m.Healthy(now), m.Minimum(), msg)
+			}
 		}
 	})
 }
 
+// losesInstance reports whether a message may take an instance out of service for
+// another cause than an ejection.
+func losesInstance(msg Msg) bool {
+	switch msg.(type) {
+	case LeaveMsg, ReachabilityMsg, RemoveMsg, SetFloorMsg:
+		return true
+	}
+	return false
+}
+
 func apply(m *Model, msg Msg) []Cmd {
 	model, cmds := m.Update(msg)
 	*m = model
@@ -39,11 +55,11 @@
 	case 0, 1:
 		return JoinMsg{ID: id, WarmAt: now + time.Duration(rapid.IntRange(0, 3).Draw(t, "warm"))*time.Second}
 	case 2:
-		return LeaveMsg{ID: id}
+		return LeaveMsg{ID: id, At: now}
 	case 3:
-		return ReachabilityMsg{ID: id, Unreachable: rapid.Bool().Draw(t, "unreachable")}
+		return ReachabilityMsg{ID: id, Unreachable: rapid.Bool().Draw(t, "unreachable"), At: now}
 	case 4:
-		return RemoveMsg{ID: id}
+		return RemoveMsg{ID: id, At: now}
 	case 5:
 		return RestoreMsg{ID: id}
 	case 6:
--- a/floor/messages.go
+++ b/floor/messages.go
@@ -5,8 +5,13 @@
 // Msg is a message to the arbiter.
 type Msg interface{ floorMsg() }
 
-// SetFloorMsg sets the minimum number of healthy instances.
-type SetFloorMsg struct{ Floor int }
+// SetFloorMsg sets the minimum of healthy instances, as a number and as a share of
+// the known ones; the greater one applies.
+type SetFloorMsg struct {
+	Floor int
+	Share float64
+	At    time.Duration
+}
 
 // JoinMsg adds an instance that is warmed up at log time WarmAt.
 type JoinMsg struct {
@@ -15,16 +20,23 @@
 }
 
 // LeaveMsg reports that the instance takes no new work.
-type LeaveMsg struct{ ID string }
+type LeaveMsg struct {
+	ID string
+	At time.Duration
+}
 
 // ReachabilityMsg reports whether the instance's host is unreachable.
 type ReachabilityMsg struct {
 	ID          string
 	Unreachable bool
+	At          time.Duration
 }
 
 // RemoveMsg removes an instance.
-type RemoveMsg struct{ ID string }
+type RemoveMsg struct {
+	ID string
+	At time.Duration
+}
 
 // EjectMsg requests an ejection for a duration, or renews it. Confirm is how long the
 // request must stand before it is granted, so that a cause shared by most instances
--- a/node/backend.go
+++ b/node/backend.go
@@ -33,6 +33,7 @@
 	registeredAt   time.Duration
 	patience       spec.Patience
 	health         detect.Model
+	ejectedRev     uint64 // view revision from which its ejection shows; 0 if not ejected
 	breaker        trust.Model
 	typicalTime    time.Duration // smoothed time of a request; 0 if unknown
 	probeCountedAt time.Duration // when a probe's result was last counted
--- a/node/detect.go
+++ b/node/detect.go
@@ -11,6 +11,7 @@
 	"github.com/damaskpitch/damaskpitch/detect"
 	"github.com/damaskpitch/damaskpitch/floor"
 	"github.com/damaskpitch/damaskpitch/gate"
+	"github.com/damaskpitch/damaskpitch/gossip"
 	"github.com/damaskpitch/damaskpitch/ledger"
 	"github.com/damaskpitch/damaskpitch/place"
 	"github.com/damaskpitch/damaskpitch/route"
@@ -273,6 +274,7 @@
 		case detect.EjectCmd:
 			go s.eject(b, cmd)
 		case detect.RestoreCmd:
+			b.ejectedRev = 0
 			s.updateGateLocked(gate.RestoreMsg{ID: b.instance.ID, At: s.now()})
 			go s.restore(b)
 		}
@@ -282,26 +284,54 @@
 // eject asks the control hosts to eject an instance. The ejection here counts from
 // before the call, so that it ends before the one that they granted.
 func (s *Server) eject(b *backend, cmd detect.EjectCmd) {
+	ctx := context.Background()
 	asked := s.now()
-	result, err := s.submit(context.Background(), place.FleetGroup, store.EjectInstance{
+	result, err := s.submit(ctx, place.FleetGroup, store.EjectInstance{
 		Key: s.keyOf(b), Epoch: s.epoch.Load(), TTL: cmd.Duration,
 	})
 	granted, ok := result.(store.EjectionGranted)
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if err != nil || !ok {
-		s.stats.denied.Inc(1)
-		s.log.Warn("ejection denied", slog.String("instance", b.instance.ID),
-			slog.String("reason", string(cmd.Reason)), slog.Any("result", result), slog.Any("error", err))
-		refused, _ := result.(store.EjectionRefused)
-		s.updateHealthLocked(b, detect.DenyMsg{At: s.now(), RetrySoon: refused.Reason == floor.Unconfirmed})
+		s.ejectionDenied(b, cmd, result, err)
 		return
 	}
+	s.mu.Lock()
 	s.stats.ejections.Inc(1)
 	s.log.Warn("instance ejected", slog.String("instance", b.instance.ID), slog.String("reason", string(cmd.Reason)),
 		slog.Duration("hold", cmd.Duration), slog.Int("left", granted.Remaining))
 	s.updateHealthLocked(b, detect.GrantMsg{At: asked})
 	s.updateGateLocked(gate.EjectMsg{ID: b.instance.ID, Until: asked + cmd.Duration})
+	b.ejectedRev = granted.Rev
+	s.mu.Unlock()
+	// The view may show the end of the ejection before the reply that grants it.
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration)
+	defer cancel()
+	s.viewSync.withModel(ctx, func(m gossip.Model) { s.endEjections(m.View()) })
+}
+
+func (s *Server) ejectionDenied(b *backend, cmd detect.EjectCmd, result store.Result, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.denied.Inc(1)
+	s.log.Warn("ejection denied", slog.String("instance", b.instance.ID),
+		slog.String("reason", string(cmd.Reason)), slog.Any("result", result), slog.Any("error", err))
+	refused, _ := result.(store.EjectionRefused)
+	s.updateHealthLocked(b, detect.DenyMsg{At: s.now(), RetrySoon: refused.Reason == floor.Unconfirmed})
+}
+
+// endEjections returns the instances to service whose ejection the arbiter has ended
+// before its time.
+func (s *Server) endEjections(v *view.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.backends {
+		if !b.health.Ejected() || b.ejectedRev == 0 || v.Rev < b.ejectedRev || v.Ejected(s.keyOf(b)) {
+			continue
+		}
+		b.ejectedRev = 0
+		s.log.Warn("ejection ended by the arbiter", slog.String("instance", b.instance.ID), slog.Uint64("rev", v.Rev))
+		s.updateHealthLocked(b, detect.RestoredMsg{At: s.now()})
+		s.updateGateLocked(gate.RestoreMsg{ID: b.instance.ID, At: s.now()})
+	}
 }
 
 func (s *Server) restore(b *backend) {
--- a/node/viewsync.go
+++ b/node/viewsync.go
@@ -139,6 +139,7 @@
 	s.stats.rev.Update(float64(cmd.Rev))
 	s.log.Info("view updated", slog.Uint64("rev", cmd.Rev), slog.Any("services", cmd.Services), slog.Bool("all", cmd.All))
 	s.updateAllLimits()
+	s.endEjections(v)
 	if member, ok := v.Member(s.cfg.Settings.Name); !ok || member.Epoch != s.epoch.Load() {
 		s.heartbeatSoon()
 	}
--- a/store/arbiter.go
+++ b/store/arbiter.go
@@ -26,7 +26,7 @@
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
 		case floor.GrantedCmd:
-			return EjectionGranted{TTL: c.TTL, Remaining: cmd.Remaining}
+			return EjectionGranted{TTL: c.TTL, Remaining: cmd.Remaining, Rev: m.index}
 		case floor.RefusedCmd:
 			return EjectionRefused{Reason: cmd.Reason}
 		}
@@ -48,7 +48,9 @@
 func (m *Model) updateArbiter(service string, msg floor.Msg) []floor.Cmd {
 	arbiter, ok := m.arbiters[service]
 	if !ok {
-		arbiter = floor.New(m.floorOf(service))
+		declared, _ := m.view.Service(service)
+		arbiter = floor.New(declared.Service.Floor)
+		arbiter.Share = declared.Service.Share
 	}
 	arbiter, cmds := arbiter.Update(msg)
 	m.arbiters[service] = arbiter
@@ -75,15 +77,10 @@
 
 func (m *Model) setFloor(s spec.Service) {
 	if _, ok := m.arbiters[s.Name]; ok {
-		m.updateArbiter(s.Name, floor.SetFloorMsg{Floor: s.Floor})
+		m.updateArbiter(s.Name, floor.SetFloorMsg{Floor: s.Floor, Share: s.Share, At: m.at})
 	}
 }
 
-func (m *Model) floorOf(service string) int {
-	s, _ := m.view.Service(service)
-	return s.Service.Floor
-}
-
 func (m *Model) warmup(service string) time.Duration {
 	s, _ := m.view.Service(service)
 	return s.Service.Warmup.Std()
--- a/store/members.go
+++ b/store/members.go
@@ -84,7 +84,7 @@
 		m.updateArbiter(i.Service, floor.JoinMsg{ID: key.String(), WarmAt: m.at + m.warmup(i.Service)})
 	}
 	if i.Leaving {
-		m.updateArbiter(i.Service, floor.LeaveMsg{ID: key.String()})
+		m.updateArbiter(i.Service, floor.LeaveMsg{ID: key.String(), At: m.at})
 	}
 }
 
@@ -93,7 +93,7 @@
 	if !ok {
 		return
 	}
-	m.updateArbiter(i.Service, floor.RemoveMsg{ID: key.String()})
+	m.updateArbiter(i.Service, floor.RemoveMsg{ID: key.String(), At: m.at})
 	m.emit(view.InstanceDeleted{Key: key})
 }
 
@@ -106,7 +106,7 @@
 func (m *Model) updateReachability(node string, r view.Reachability) {
 	for _, i := range m.view.InstancesOf(node) {
 		key := view.Key{Node: node, ID: i.ID}
-		m.updateArbiter(i.Service, floor.ReachabilityMsg{ID: key.String(), Unreachable: r == view.Unreachable})
+		m.updateArbiter(i.Service, floor.ReachabilityMsg{ID: key.String(), Unreachable: r == view.Unreachable, At: m.at})
 	}
 }
 
--- a/store/result.go
+++ b/store/result.go
@@ -28,10 +28,12 @@
 type Stale struct{}
 
 // EjectionGranted reports that an ejection holds for TTL, and the number of healthy
-// instances that remain.
+// instances that remain. A view of Rev or later that does not list the instance as
+// ejected means that the arbiter ended the ejection early.
 type EjectionGranted struct {
 	TTL       time.Duration `json:"ttl"`
 	Remaining int           `json:"left"`
+	Rev       uint64        `json:"rev,omitempty"`
 }
 
 // EjectionRefused reports why an instance stays in service.
