A planned stop resets no connection that waits to be accepted

A stopping node now drops the first packets of new handshakes, waits for those in progress to complete, and closes then.

--- a/node/listen.go
+++ b/node/listen.go
@@ -21,6 +21,8 @@
 	// _closeDelay is how long a stopping node accepts connections. Callers that check
 	// its readiness have left by then.
 	_closeDelay = 3 * time.Second
+	// _handshakeTime is how long handshakes that have begun may take to complete.
+	_handshakeTime = 100 * time.Millisecond
 	// _stopMargin is the last part of a planned stop, in which no attempt starts.
 	_stopMargin = 1200 * time.Millisecond
 )
@@ -55,6 +57,28 @@
 	if err != nil {
 		return errors.Errorf("assemble socket filter: %w", err)
 	}
+	return attach(l, unix.SO_ATTACH_REUSEPORT_CBPF, program)
+}
+
+// ignoreHandshakes attaches a filter that drops the first packet of new handshakes.
+// Closing a listener resets the connections that wait to be accepted; after this call
+// there are no more of them once the handshakes in progress have completed.
+func ignoreHandshakes(l *net.TCPListener) error {
+	const flags, syn, wholePacket = 13, 0x02, 1 << 16
+	program, err := bpf.Assemble([]bpf.Instruction{
+		bpf.LoadAbsolute{Off: flags, Size: 1},
+		bpf.JumpIf{Cond: bpf.JumpBitsSet, Val: syn, SkipTrue: 1},
+		bpf.RetConstant{Val: wholePacket},
+		bpf.RetConstant{Val: 0},
+	})
+	if err != nil {
+		return errors.Errorf("assemble socket filter: %w", err)
+	}
+	return attach(l, unix.SO_ATTACH_FILTER, program)
+}
+
+// attach sets a socket option of the listener to a filter program.
+func attach(l *net.TCPListener, option int, program []bpf.RawInstruction) error {
 	filter := make([]unix.SockFilter, 0, len(program))
 	for _, i := range program {
 		filter = append(filter, unix.SockFilter{Code: i.Op, Jt: i.Jt, Jf: i.Jf, K: i.K})
@@ -65,12 +89,22 @@
 	}
 	var failed error
 	err = raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF,
+		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, option,
 			&unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]})
 	})
 	return errors.CombineErrors(err, failed)
 }
 
+// settleHandshakes lets the handshakes in progress complete and begins no others.
+func (s *Server) settleHandshakes(l *net.TCPListener, addr string) {
+	if err := ignoreHandshakes(l); err != nil {
+		s.log.Warn("cannot ignore new handshakes; connections that wait to be accepted will be reset",
+			slog.String("addr", addr), slog.Any("error", err))
+		return
+	}
+	time.Sleep(_handshakeTime)
+}
+
 // serve runs an HTTP server until the context ends, and then drains it.
 func (s *Server) serve(ctx context.Context, addr string, h http.Handler) error {
 	l, err := listen(ctx, addr)
@@ -135,6 +169,7 @@
 	// Active callers leave with their next response. Closing their connections
 	// immediately would break requests in transit.
 	time.Sleep(min(_closeDelay, s.stopTimeout()/2))
+	s.settleHandshakes(l, addr)
 	ctx, cancel := context.WithTimeout(context.Background(), s.stopTimeout())
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
