--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -53,6 +53,25 @@
 	}
 }
 
+// TestKinds checks which kinds a plan may name, and which of them run at most once.
+func TestKinds(t *testing.T) {
+	cases := []struct {
+		kind Kind
+		once bool
+	}{{Idempotent, false}, {Bulk, false}, {Once, true}, {Upload, true}}
+	for _, c := range cases {
+		text := strings.Replace(_validPlan, `"kind":"once"`, `"kind":"`+string(c.kind)+`"`, 1)
+		p, err := Parse(strings.NewReader(text))
+		if err != nil {
+			t.Errorf("%s: %v", c.kind, err)
+			continue
+		}
+		if got := p.Routes[1].Kind; got != c.kind || got.Once() != c.once {
+			t.Errorf("kind %s, once %t; want %s, %t", got, got.Once(), c.kind, c.once)
+		}
+	}
+}
+
 // TestDiff checks that applying the diff of two plans to the first gives the second.
 func TestDiff(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
--- a/plan/route.go
+++ b/plan/route.go
@@ -27,8 +27,19 @@
 	Once Kind = "once"
 	// Bulk requests are idempotent and have large responses.
 	Bulk Kind = "bulk"
+	// Upload requests have large bodies and are executed at most once.
+	Upload Kind = "upload"
 )
 
+// Once reports whether requests of this kind are executed at most once.
+func (k Kind) Once() bool {
+	return k == Once || k == Upload
+}
+
+func (k Kind) valid() bool {
+	return k.Once() || k == Idempotent || k == Bulk
+}
+
 // Route maps the requests for a host and path prefix to services.
 type Route struct {
 	Name string `json:"name"`
@@ -91,8 +102,8 @@
 		return r.fieldError("host", r.Host, "a host name of 1 to 253 bytes")
 	case !strings.HasPrefix(r.Path, "/") || len(r.Path) > _maxPath:
 		return r.fieldError("path", r.Path, "a path prefix that begins with a slash")
-	case r.Kind != Idempotent && r.Kind != Once && r.Kind != Bulk:
-		return r.fieldError("kind", string(r.Kind), "idempotent, once or bulk")
+	case !r.Kind.valid():
+		return r.fieldError("kind", string(r.Kind), "idempotent, once, bulk or upload")
 	case r.Timeout <= 0 || r.Timeout.Std() > _maxTimeout:
 		return r.fieldError("timeout", r.Timeout.String(), "more than 0s, at most 10m")
 	case r.Target < 0:
--- a/route/table.go
+++ b/route/table.go
@@ -80,7 +80,7 @@
 	t := &Table{hosts: map[string]*pathNode{}}
 	for i := range routes {
 		r := &routes[i]
-		t.add(Match{Plan: r, Route: &spec.Route{Host: r.Host, Path: r.Path, Once: r.Kind == plan.Once}})
+		t.add(Match{Plan: r, Route: &spec.Route{Host: r.Host, Path: r.Path, Once: r.Kind.Once()}})
 	}
 	return t
 }
