Large bodies are kept back until the owner admits the attempt

Only one attempt may read a streamed body. A caller that stalls gets 408 (not run) or 504, the limits of a plan on header and body hold (431, 413), and nothing incomplete ends cleanly.

--- a/call/call.go
+++ b/call/call.go
@@ -44,6 +44,13 @@
 	return Model{cfg: cfg}
 }
 
+// WithReplayable returns the model with Config.Replayable changed. A body that is
+// streamed cannot be sent again once part of it has been read.
+func (m Model) WithReplayable(replayable bool) Model {
+	m.cfg.Replayable = replayable
+	return m
+}
+
 // Attempts returns the number of attempts so far.
 func (m Model) Attempts() int {
 	return m.attempts
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptrace"
@@ -85,7 +84,7 @@
 func (e *exchange) hedgeDelay(res *attemptResult) (time.Duration, bool) {
 	return retry.HedgeDelay(retry.Attempt{
 		Once:          e.match.Route.Once,
-		Replayable:    e.replayable(),
+		Replayable:    e.body.whole(),
 		Attempts:      e.lifecycle.Attempts(),
 		Deliveries:    e.lifecycle.Deliveries(),
 		MaxDeliveries: e.match.Attempts(),
@@ -118,7 +117,7 @@
 		tryCmd:    try,
 		startedAt: time.Now(),
 	}
-	if e.replayable() {
+	if e.body.whole() {
 		e.fingerprint()
 	}
 	res.ctx, res.cancel = context.WithCancel(ctx)
@@ -292,21 +291,26 @@
 // newAttemptRequest returns the HTTP request that carries the attempt.
 func (e *exchange) newAttemptRequest(ctx context.Context, res *attemptResult) *http.Request {
 	c := res.choice.Candidate
-	body, length := e.newBody()
+	body, length := e.body.open(e.r.ContentLength)
 	u := *e.r.URL
 	u.Scheme = "http"
 	u.Host = c.Addr
 	r := &http.Request{
 		Method:        e.r.Method,
 		URL:           &u,
+		ProtoMajor:    1, // the transport ignores Expect without a version
+		ProtoMinor:    1,
 		Host:          e.r.Host,
 		Header:        e.header.Clone(),
-		Body:          io.NopCloser(body),
+		Body:          body,
 		ContentLength: length,
 	}
 	if length == 0 {
 		r.Body = http.NoBody
 	}
+	if e.body.held() {
+		r.Header.Set("Expect", "100-continue")
+	}
 	r.Header.Set(_headerSecret, e.server.cfg.Settings.Key)
 	r.Header.Set(_headerAttempt, res.ref.String())
 	r.Header.Set(_headerOwner, strconv.FormatUint(c.Epoch, 10))
@@ -333,7 +337,7 @@
 	if target := e.match.Target(); target > 0 {
 		r.Header.Set(_headerTarget, formatMillis(max(0, target-time.Since(e.startedAt))))
 	}
-	if e.replayable() {
+	if e.body.whole() {
 		r.Header.Set(_headerFingerprint, strconv.FormatUint(e.fingerprint(), 16))
 	}
 	if res.hint != (route.Hint{}) {
--- a/node/claim.go
+++ b/node/claim.go
@@ -69,7 +69,7 @@
 	}
 	d := xxhash.New()
 	_, _ = d.WriteString(e.match.Service.Name + " " + e.r.Method + " " + e.r.URL.RequestURI() + "\n")
-	_, _ = d.Write(e.body)
+	_, _ = d.Write(e.body.buffered)
 	e.cachedFingerprint = d.Sum64()
 	return e.cachedFingerprint
 }
--- a/node/conns.go
+++ b/node/conns.go
@@ -48,10 +48,11 @@
 	if !ok {
 		dialer := &net.Dialer{Timeout: _dialTimeout}
 		t = &http.Transport{
-			DialContext:         dialer.DialContext,
-			IdleConnTimeout:     _connIdleTimeout,
-			MaxIdleConnsPerHost: _maxIdleConns,
-			DisableCompression:  true,
+			DialContext:           dialer.DialContext,
+			IdleConnTimeout:       _connIdleTimeout,
+			MaxIdleConnsPerHost:   _maxIdleConns,
+			DisableCompression:    true,
+			ExpectContinueTimeout: _continueTimeout,
 		}
 		c.transports[addr] = t
 	}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -15,7 +15,7 @@
 	e.lifecycle = call.New(call.Config{
 		Once:          e.match.Route.Once,
 		Key:           e.r.Header.Get(HeaderIdempotencyKey),
-		Replayable:    e.replayable(),
+		Replayable:    e.body.replayable(),
 		MaxDeliveries: e.match.Attempts(),
 	})
 	if e.match.Route.Once && e.r.Header.Get(HeaderIdempotencyKey) != "" {
@@ -38,7 +38,7 @@
 // update executes the commands of the model and returns the message that they
 // result in, or nil at the end.
 func (e *exchange) update(ctx context.Context, msg call.Msg) call.Msg {
-	model, cmds := e.lifecycle.Update(msg)
+	model, cmds := e.lifecycle.WithReplayable(e.body.replayable()).Update(msg)
 	e.lifecycle = model
 	var next call.Msg
 	for _, cmd := range cmds {
@@ -82,6 +82,9 @@
 		return call.NoInstanceMsg{TimeLeft: time.Until(e.deadline)}
 	}
 	e.lastResult = res
+	if res.execution != retry.Executed {
+		e.body.release()
+	}
 	if res.response == nil {
 		return call.LostMsg{Sent: res.maybeSent, Reason: res.reason, TimeLeft: time.Until(e.deadline)}
 	}
@@ -156,8 +159,12 @@
 		refuse(e.w, http.StatusServiceUnavailable, cmd.Reason)
 		return
 	}
+	status := http.StatusGatewayTimeout
+	if e.body.tooLarge.Load() {
+		status = http.StatusRequestEntityTooLarge
+	}
 	e.server.stats.unknown.Inc(1)
 	e.w.Header().Set(HeaderOutcome, "unknown")
 	e.w.Header().Set(HeaderReason, cmd.Reason)
-	http.Error(e.w, "the request may have run: "+cmd.Reason, http.StatusGatewayTimeout)
+	http.Error(e.w, "the request may have run: "+cmd.Reason, status)
 }
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/damaskpitch/damaskpitch/place"
+	"github.com/damaskpitch/damaskpitch/plan"
 	"github.com/damaskpitch/damaskpitch/proto"
 	"github.com/damaskpitch/damaskpitch/retry"
 	"github.com/damaskpitch/damaskpitch/route"
@@ -22,7 +23,8 @@
 	serviceRoutes     *route.Table
 	planRoutes        *route.Table
 	version           uint64 // of the plan that planRoutes was built from
-	declarationsKnown bool   // the view has had a plan or a service
+	requestLimits     plan.Limits
+	declarationsKnown bool // the view has had a plan or a service
 	services          map[string]*service
 	claimGroups       uint32 // number of groups that hold idempotency keys; 0 if unknown
 	rumors            func(service string) []proto.Rumor
@@ -118,6 +120,13 @@
 	return f.version
 }
 
+// limits returns the plan's limits of requests.
+func (f *fleet) limits() plan.Limits {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.requestLimits
+}
+
 // hasDeclarations reports whether the view has had a plan or a service.
 func (f *fleet) hasDeclarations() bool {
 	f.mu.RLock()
@@ -178,6 +187,7 @@
 	f.declarationsKnown = f.declarationsKnown || v.Plan.Version > 0 || len(v.Services()) > 0
 	if f.version != v.Plan.Version {
 		f.version = v.Plan.Version
+		f.requestLimits = v.Plan.Limits
 		f.planRoutes = route.NewPlanTable(v.Plan.Routes)
 	}
 	if all {
--- a/node/header.go
+++ b/node/header.go
@@ -60,10 +60,23 @@
 // errMalformedHeader reports an internal header that cannot be parsed.
 var errMalformedHeader = errors.New("malformed header")
 
-// hopByHopHeaders apply to a single connection and are not forwarded.
+// hopByHopHeaders apply to a single connection and are not forwarded. Expect is among
+// them: each hop decides whether to wait for permission to send the body.
 var hopByHopHeaders = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// headerSize returns the size in bytes of a request's header.
+func headerSize(r *http.Request) int64 {
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return int64(size)
 }
 
 // forwardableHeader returns a copy without hop-by-hop headers and without those of
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -1,10 +1,8 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	crand "crypto/rand"
-	"io"
 	"log/slog"
 	"math"
 	"math/rand/v2"
@@ -26,7 +24,6 @@
 	// started for the declared services and routes. It covers a control host
 	// election and one pull, for the case that control hosts start as well.
 	_declarationsWait = 1500 * time.Millisecond
-	_maxReplayBody    = 64 << 10
 	_maxRequestID     = 128
 )
 
@@ -40,8 +37,7 @@
 	w                 http.ResponseWriter
 	r                 *http.Request
 	header            http.Header
-	body              []byte
-	unreadBody        io.Reader
+	body              *requestBody
 	startedAt         time.Time
 	deadline          time.Time
 	lifecycle         call.Model
@@ -87,10 +83,17 @@
 	e.deadline = e.startedAt.Add(timeout)
 	ctx, cancel := context.WithDeadline(r.Context(), e.deadline)
 	defer cancel()
-	if err := e.readBody(); err != nil {
-		refuse(w, http.StatusBadRequest, "body: "+err.Error())
+	limits := s.fleet.limits()
+	if limits.Header > 0 && headerSize(r) > limits.Header {
+		refuse(w, http.StatusRequestHeaderFieldsTooLarge, "header exceeds the limit")
 		return
 	}
+	body, err := readBody(w, r, limits.Body, e.deadline)
+	if err != nil {
+		e.refuseBody(err)
+		return
+	}
+	e.body = body
 	if reason := e.unclaimableReason(); reason != "" {
 		refuse(w, http.StatusBadRequest, reason)
 		return
@@ -98,7 +101,7 @@
 	service.mu.Lock()
 	service.budget = service.budget.AddRequest(retry.DefaultQuota(), s.now())
 	service.mu.Unlock()
-	if e.replayable() && s.fleet.isBanned(e.fingerprint()) {
+	if e.body.whole() && s.fleet.isBanned(e.fingerprint()) {
 		s.log.Warn("request refused because its fingerprint is banned", slog.String("request", e.id), slog.String("reason", _reasonBanned))
 		refuse(w, http.StatusUnprocessableEntity, _reasonBanned)
 		return
@@ -119,21 +122,20 @@
 	return true
 }
 
-// readBody buffers a body of up to 64 KiB, so that it can be sent again. The rest
-// of a longer body is streamed.
-func (e *exchange) readBody() error {
-	if e.r.Body == nil || e.r.Body == http.NoBody {
-		return nil
-	}
-	head, err := io.ReadAll(io.LimitReader(e.r.Body, _maxReplayBody+1))
-	if err != nil {
-		return errors.Errorf("read: %w", err)
-	}
-	e.body = head
-	if len(head) > _maxReplayBody {
-		e.unreadBody = e.r.Body
-	}
-	return nil
+// refuseBody responds to a request whose body could not be read; nothing of it has been
+// sent to an instance.
+func (e *exchange) refuseBody(err error) {
+	e.server.log.Info("request body not read", slog.String("request", e.id), slog.Any("error", err),
+		slog.Duration("after", time.Since(e.startedAt)))
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, errBodyTimeout):
+		status = http.StatusRequestTimeout
+	}
+	e.w.Header().Set("Connection", "close")
+	refuse(e.w, status, err.Error())
 }
 
 // unclaimableReason returns why the idempotency key of a request cannot be
@@ -145,28 +147,12 @@
 	if len(e.r.Header.Get(HeaderIdempotencyKey)) > _maxKeyLength {
 		return HeaderIdempotencyKey + " is longer than 255 bytes"
 	}
-	if !e.replayable() {
+	if !e.body.whole() {
 		return "a request with a key has a body of 64 KiB at most"
 	}
 	return ""
 }
 
-// replayable reports whether the whole body is buffered.
-func (e *exchange) replayable() bool {
-	return e.unreadBody == nil
-}
-
-// newBody returns the request's body for one attempt.
-func (e *exchange) newBody() (io.Reader, int64) {
-	if e.unreadBody != nil {
-		return io.MultiReader(bytes.NewReader(e.body), e.unreadBody), e.r.ContentLength
-	}
-	if len(e.body) == 0 {
-		return http.NoBody, 0
-	}
-	return bytes.NewReader(e.body), int64(len(e.body))
-}
-
 // refuse responds that the request was not run.
 func refuse(w http.ResponseWriter, status int, reason string) {
 	w.Header().Set(HeaderOutcome, "not-run")
