Responses without an end are bounded: the head of an instance's response by 64 KiB

Cause: no transport bounded the head of a response, so the library's 10 MB a connection held: 64 requests at once to an instance whose header has no end took its node to 603 MiB (TestEndlessResponses, before). Heads and the interim responses before them are now bounded by 64 KiB. Status line, single field, interim responses, body without a length, chunk extension, trailer and bytes after a response: 64 at once each stay below 60 MiB a node, each connection is closed, the requests end as unknown or broken off.

--- a/node/backend.go
+++ b/node/backend.go
@@ -101,7 +101,11 @@
 
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: _dialTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: _maxHeaderBytes,
+	}
 }
 
 // transport returns the transport for a request. A pooled connection may be dead
--- a/node/conns.go
+++ b/node/conns.go
@@ -10,9 +10,11 @@
 const (
 	// _dialTimeout exceeds the round-trip time between regions. Trying another
 	// instance after it is faster than waiting for TCP to retransmit a lost packet.
-	_dialTimeout          = 300 * time.Millisecond
-	_connIdleTimeout      = 30 * time.Second
-	_maxIdleConns         = 64
+	_dialTimeout     = 300 * time.Millisecond
+	_connIdleTimeout = 30 * time.Second
+	_maxIdleConns    = 64
+	// _maxOwnerHeaderBytes leaves room for what an owner adds to an instance's header.
+	_maxOwnerHeaderBytes  = _maxHeaderBytes + 8<<10
 	_silenceLatencyFactor = 8
 	_minSilenceTimeout    = 50 * time.Millisecond
 	_unhealthyAvoid       = 2 * time.Second
@@ -48,11 +50,12 @@
 	if !ok {
 		dialer := &net.Dialer{Timeout: _dialTimeout}
 		t = &http.Transport{
-			DialContext:           dialer.DialContext,
-			IdleConnTimeout:       _connIdleTimeout,
-			MaxIdleConnsPerHost:   _maxIdleConns,
-			DisableCompression:    true,
-			ExpectContinueTimeout: _continueTimeout,
+			DialContext:            dialer.DialContext,
+			IdleConnTimeout:        _connIdleTimeout,
+			MaxIdleConnsPerHost:    _maxIdleConns,
+			DisableCompression:     true,
+			ExpectContinueTimeout:  _continueTimeout,
+			MaxResponseHeaderBytes: _maxOwnerHeaderBytes,
 		}
 		c.transports[addr] = t
 	}
--- a/node/server.go
+++ b/node/server.go
@@ -28,8 +28,10 @@
 	_submitTimeout     = 3 * time.Second
 	_readHeaderTimeout = 5 * time.Second
 	_idleTimeout       = 2 * time.Minute
-	_maxHeaderBytes    = 64 << 10
-	_drainTimeout      = 90 * time.Second
+	// _maxHeaderBytes is the maximum size of a request's header, and of a response's
+	// with the interim responses before it.
+	_maxHeaderBytes = 64 << 10
+	_drainTimeout   = 90 * time.Second
 )
 
 // Config configures a node.
--- /dev/null
+++ b/trials/streams_test.go
@@ -0,0 +1,177 @@
+package trials
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/fake"
+	"github.com/damaskpitch/damaskpitch/spec"
+)
+
+// TestEndlessResponses lets a backend server send bytes without an end, of each kind, to
+// many requests at once. Memory of the nodes must stay flat, other callers must be
+// served, each connection must be closed, and the outcome told must be true.
+func TestEndlessResponses(t *testing.T) {
+	const (
+		requests  = 64
+		maxMemory = 60 * _mebibyte
+		timeout   = 2 * time.Second
+		bound     = timeout + 2*time.Second
+	)
+	// Whether the response before the endless bytes is complete. Otherwise the caller is
+	// told that the request may have run, or its response breaks off.
+	kinds := []struct {
+		kind     fake.Stream
+		complete bool
+	}{
+		{fake.StreamHeader, false},
+		{fake.StreamHeaderField, false},
+		{fake.StreamStatusLine, false},
+		{fake.StreamInterim, false},
+		{fake.StreamBody, false},
+		{fake.StreamExtension, false},
+		{fake.StreamTrailer, false},
+		{fake.StreamExtra, true},
+	}
+	f := newFleet(t, 1, 2)
+	f.startAll()
+	for n, c := range kinds {
+		service := fmt.Sprint("endless-", n)
+		f.putService(0, spec.Service{
+			Name: service, Floor: 1, Patience: spec.Sure, Warmup: spec.Duration(time.Millisecond), Slots: requests,
+			Timeout: spec.Duration(timeout),
+			Routes:  []spec.Route{{Path: "/" + service, Method: http.MethodPost, Once: true}},
+		}.WithDefaults(), service)
+		s, err := fake.StartStreamer(t.Context(), c.kind)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.announceUntilEnd(service, service, s.Addr(), 1)
+		f.awaitInstances(n + 1)
+		var wg sync.WaitGroup
+		var refused atomic.Int64
+		for range requests {
+			wg.Go(func() {
+				started := time.Now()
+				status := f.postEndless(t, "/"+service)
+				took := time.Since(started)
+				switch {
+				case status == http.StatusServiceUnavailable:
+					refused.Add(1)
+				case c.complete && status == http.StatusOK && took < bound:
+				case !c.complete && (status == http.StatusGatewayTimeout || status == 0) && took < bound:
+				default:
+					t.Errorf("%s: status %d after %v", c.kind, status, took)
+				}
+			})
+		}
+		wg.Wait()
+		if ran := s.Served(); ran+refused.Load() > requests {
+			t.Errorf("%s: %d requests ran, and %d were said not to have run", c.kind, ran, refused.Load())
+		}
+		f.eventually("closed connections of "+string(c.kind), func() error {
+			if open := s.Open(); open > 0 || s.Served() == 0 {
+				return fmt.Errorf("%d connections are open, %d requests served", open, s.Served())
+			}
+			return nil
+		})
+		for _, n := range f.nodes {
+			if peak := f.peakMemory(n.Name); peak > maxMemory {
+				t.Fatalf("%s: %s used %d MiB at its peak", c.kind, n.Name, peak/_mebibyte)
+			}
+		}
+	}
+}
+
+// postEndless sends a request that must not run twice, and returns the status of the
+// response, or 0 if it is not complete.
+func (f *fleet) postEndless(t *testing.T, path string) int {
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.nodes[0].Caller+path, http.NoBody)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// TestEndlessRequests sends requests whose head, chunk extension or trailer has no end.
+// The node must close each connection, with flat memory, and no instance may get such a
+// request as complete.
+func TestEndlessRequests(t *testing.T) {
+	const (
+		callers   = 64
+		maxMemory = 60 * _mebibyte
+		maxTime   = 10 * time.Second
+	)
+	cases := []struct{ name, once, repeated string }{
+		{"request line", "POST /photos/", "0123456789abcdef"},
+		{"header", "POST /photos/1 HTTP/1.1\r\nHost: h\r\n", "X-Field: 0123456789abcdef\r\n"},
+		{"chunk extension", "POST /photos/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5;", "0123456789abcdef"},
+		{"trailer", "POST /photos/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: 0123456789abcdef\r\n"},
+	}
+	f, sinks := uploadFleet(t, 4)
+	for _, c := range cases {
+		piece := []byte(c.repeated)
+		for len(piece) < 32<<10 {
+			piece = append(piece, c.repeated...)
+		}
+		var wg sync.WaitGroup
+		for range callers {
+			wg.Go(func() {
+				if err := writeUntilClosed(f.nodes[0].Caller, c.once, piece, maxTime); err != nil {
+					t.Errorf("%s: %v", c.name, err)
+				}
+			})
+		}
+		wg.Wait()
+		if peak := f.peakMemory(f.nodes[0].Name); peak > maxMemory {
+			t.Errorf("%s: %d MiB at the peak", c.name, peak/_mebibyte)
+		}
+	}
+	for _, s := range sinks {
+		if complete, _ := s.counts(); len(complete) > 0 {
+			t.Errorf("%s got %d endless requests as complete", s.id, len(complete))
+		}
+	}
+}
+
+// writeUntilClosed writes to a node until it closes the connection. It returns an error
+// if the node does not within maxTime.
+func writeUntilClosed(addr, once string, piece []byte, maxTime time.Duration) error {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	go func() { _, _ = io.Copy(io.Discard, bufio.NewReader(conn)) }()
+	if _, err := io.WriteString(conn, once); err != nil {
+		return err
+	}
+	for end := time.Now().Add(maxTime); time.Now().Before(end); {
+		if err := conn.SetWriteDeadline(end); err != nil {
+			return err
+		}
+		if _, err := conn.Write(piece); err != nil {
+			if netErr, ok := err.(net.Error); ok && netErr.Timeout() {
+				break
+			}
+			return nil
+		}
+	}
+	return fmt.Errorf("still open after %v", maxTime)
+}
