Nodes tell each other on attempts and responses which instances refuse

Cause: each ingress learned of each failing or full instance by being refused there. Attempts and their responses now carry up to twelve reports of 7 bytes: which instances refuse and for how long, and how many attempts are active elsewhere, with the age. Newer reports replace older ones; a refusal never outlasts what its owner said.

--- a/node/attempt.go
+++ b/node/attempt.go
@@ -269,6 +269,9 @@
 		e.server.ownerConns.dropConns(res.choice.Candidate.Addr)
 		return
 	}
+	if err := e.server.fleet.mergeReports(e.match.Service.Name, header.Get(_headerReports), e.server.now()); err != nil {
+		e.server.log.Warn("ignored load reports of an owner", slog.String("addr", res.choice.Candidate.Addr), slog.Any("error", err))
+	}
 	res.reason = header.Get(HeaderReason)
 	switch execution := retry.Execution(header.Get(_headerExecution)); execution {
 	case retry.Executed, retry.NotExecuted:
@@ -343,6 +346,9 @@
 	if res.hint != (route.Hint{}) {
 		r.Header.Set(_headerHint, formatHint(res.hint))
 	}
+	if reports := e.server.fleet.reports(e.match.Service.Name, c.Key, e.server.now()); reports != "" {
+		r.Header.Set(_headerReports, reports)
+	}
 	return r.WithContext(ctx)
 }
 
--- a/node/detect.go
+++ b/node/detect.go
@@ -340,5 +340,20 @@
 }
 
 func (s *Server) keyOf(b *backend) view.Key {
-	return view.Key{Node: s.cfg.Settings.Name, ID: b.instance.ID}
+	return s.instanceKey(b.instance.ID)
+}
+
+// instanceKey returns the key of an instance on this host.
+func (s *Server) instanceKey(id string) view.Key {
+	return view.Key{Node: s.cfg.Settings.Name, ID: id}
+}
+
+// serviceOf returns the service of an instance on this host, or an empty string.
+func (s *Server) serviceOf(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b := s.backends[id]; b != nil {
+		return b.instance.Service
+	}
+	return ""
 }
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/damaskpitch/damaskpitch/place"
 	"github.com/damaskpitch/damaskpitch/plan"
 	"github.com/damaskpitch/damaskpitch/proto"
@@ -98,6 +100,42 @@
 	}
 }
 
+// reports returns what this node can tell about the instances of a service, except one,
+// as text for a header. It is empty if there is nothing to tell.
+func (f *fleet) reports(service string, except view.Key, at time.Duration) string {
+	f.mu.RLock()
+	s := f.services[service]
+	f.mu.RUnlock()
+	if s == nil {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return route.EncodeReports(s.loads.Reports(s.pool, at, except))
+}
+
+// mergeReports takes over the reports of another node about the instances of a service.
+// It returns an error for text that no node sends.
+func (f *fleet) mergeReports(service, text string, at time.Duration) error {
+	if text == "" {
+		return nil
+	}
+	reports, err := route.DecodeReports(text)
+	if err != nil {
+		return errors.Errorf("reports on %s: %w", service, err)
+	}
+	f.mu.RLock()
+	s := f.services[service]
+	f.mu.RUnlock()
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads.Merge(s.pool, reports, at)
+	return nil
+}
+
 // hasInstancesAt reports whether an owner's address has any instances.
 func (f *fleet) hasInstancesAt(addr string) bool {
 	f.mu.RLock()
--- a/node/header.go
+++ b/node/header.go
@@ -55,6 +55,7 @@
 	_headerRoute           = _internalPrefix + "Route"
 	_headerPriority        = _internalPrefix + "Rank"
 	_headerTarget          = _internalPrefix + "Target"
+	_headerReports         = _internalPrefix + "News"
 )
 
 // errMalformedHeader reports an internal header that cannot be parsed.
--- a/node/owner.go
+++ b/node/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"log/slog"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -109,6 +110,9 @@
 	if hint, ok := parseHint(r.Header.Get(_headerHint)); ok {
 		s.applyHint(r.Header.Get(_headerInstance), hint)
 	}
+	if err := s.fleet.mergeReports(s.serviceOf(r.Header.Get(_headerInstance)), r.Header.Get(_headerReports), s.now()); err != nil {
+		s.log.Warn("ignored load reports of an ingress", slog.String("attempt", ref.String()), slog.Any("error", err))
+	}
 	if s.stopping.Load() && s.cfg.Settings.Stop > 0 {
 		s.notRun(w, _reasonStop)
 		return
--- a/node/reply.go
+++ b/node/reply.go
@@ -119,9 +119,13 @@
 	return ""
 }
 
-// setLoadHeaders sets the headers that report the instance's load and health.
+// setLoadHeaders sets the headers that report the instance's load and health, and what
+// this node knows of the service's other instances.
 func (j *job) setLoadHeaders() {
 	s := j.server
+	if reports := s.fleet.reports(s.serviceOf(j.instance), s.instanceKey(j.instance), s.now()); reports != "" {
+		j.w.Header().Set(_headerReports, reports)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load := s.gate.Load(j.instance, s.now())
--- a/route/pool.go
+++ b/route/pool.go
@@ -20,6 +20,8 @@
 	// Slots is the number of requests that the instance runs at a time, or 0 for
 	// the service's default.
 	Slots int
+
+	hash uint32 // identifies the instance in reports
 }
 
 // Pool lists the instances of a service, those in the local data centre first.
@@ -39,6 +41,7 @@
 	// Allocate the exact size: pools are long-lived and numerous.
 	p := Pool{Candidates: make([]Candidate, 0, len(list)), MaxAvoided: -service.Service.FloorOf(len(list)), Slots: service.Service.Slots}
 	for _, c := range list {
+		c.hash = hashOf(c.Key)
 		if !c.Excluded {
 			p.MaxAvoided++
 		}
@@ -48,6 +51,7 @@
 	}
 	p.LocalCount = len(p.Candidates)
 	for _, c := range list {
+		c.hash = hashOf(c.Key)
 		if c.Center != center {
 			p.Candidates = append(p.Candidates, c)
 		}
--- /dev/null
+++ b/route/report.go
@@ -0,0 +1,131 @@
+package route
+
+import (
+	"cmp"
+	"encoding/base64"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+const (
+	// MaxReports is the maximum number of reports in a message.
+	MaxReports = 12
+	// _maxRefusalReports is how many of them may be about instances that refuse
+	// requests. The others say where there is room.
+	_maxRefusalReports = 8
+
+	// _reportSize is the size of an encoded report: a hash of the key, the number of
+	// active attempts, the age, and how long the instance refuses requests.
+	_reportSize = 4 + 1 + 1 + 1
+	// _ageUnit and _refusalUnit are the units of the encoded times.
+	_ageUnit     = 10 * time.Millisecond
+	_refusalUnit = 20 * time.Millisecond
+	_maxEncoded  = 255
+)
+
+// errMalformedReports reports an encoding of reports that cannot be decoded.
+var errMalformedReports = errors.New("malformed load reports")
+
+// Report is what one ingress tells another about the load of an instance.
+type Report struct {
+	// Hash identifies the instance within its service.
+	Hash uint32
+	// Active is the number of running and queued attempts at the instance.
+	Active int
+	// Age is the time since the instance's owner said so.
+	Age time.Duration
+	// RefusesFor is how much longer the owner refuses requests that another instance
+	// could serve, or 0.
+	RefusesFor time.Duration
+}
+
+// hashOf returns the hash that identifies an instance in reports.
+func hashOf(k view.Key) uint32 {
+	return uint32(xxhash.Sum64String(k.String()))
+}
+
+// Reports returns what is worth telling about the instances of a pool, except one: the
+// newest refusals, and the newest loads of the others.
+func (t *LoadTracker) Reports(p Pool, at time.Duration, except view.Key) []Report {
+	var refusing, others []Report
+	for _, c := range p.Candidates {
+		l, known := t.loads[c.Key]
+		age := at - l.ReportedAt
+		if !known || l.ReportedAt == 0 || c.Key == except || age >= _loadMaxAge && at >= l.RefusesUntil {
+			continue
+		}
+		r := Report{Hash: c.hash, Active: l.Active, Age: age, RefusesFor: max(0, l.RefusesUntil-at)}
+		if r.RefusesFor > 0 {
+			refusing = append(refusing, r)
+		} else {
+			others = append(others, r)
+		}
+	}
+	newestFirst := func(a, b Report) int { return cmp.Compare(a.Age, b.Age) }
+	slices.SortFunc(refusing, newestFirst)
+	slices.SortFunc(others, newestFirst)
+	refusing = refusing[:min(len(refusing), _maxRefusalReports)]
+	return append(refusing, others[:min(len(others), MaxReports-len(refusing))]...)
+}
+
+// Merge takes over the reports that are newer than what is known.
+func (t *LoadTracker) Merge(p Pool, reports []Report, at time.Duration) {
+	if len(reports) == 0 {
+		return
+	}
+	byHash := make(map[uint32]Report, len(reports))
+	for _, r := range reports {
+		byHash[r.Hash] = r
+	}
+	for _, c := range p.Candidates {
+		r, ok := byHash[c.hash]
+		reportedAt := at - r.Age
+		if !ok || reportedAt <= t.loads[c.Key].ReportedAt {
+			continue
+		}
+		t.Update(c.Key, func(l *Load) {
+			l.Active, l.ReportedAt = r.Active, reportedAt
+			l.RefusesUntil = at + r.RefusesFor
+		})
+	}
+}
+
+// EncodeReports returns the reports as text for a header.
+func EncodeReports(reports []Report) string {
+	data := make([]byte, 0, len(reports)*_reportSize)
+	for _, r := range reports {
+		data = binary.BigEndian.AppendUint32(data, r.Hash)
+		data = append(data, encodeUnits(time.Duration(r.Active), 1), encodeUnits(r.Age, _ageUnit), encodeUnits(r.RefusesFor, _refusalUnit))
+	}
+	return base64.RawStdEncoding.EncodeToString(data)
+}
+
+// DecodeReports returns the reports in a header's text. It returns an error for text
+// that EncodeReports does not produce.
+func DecodeReports(text string) ([]Report, error) {
+	data, err := base64.RawStdEncoding.DecodeString(text)
+	if err != nil || len(data)%_reportSize != 0 || len(data) > MaxReports*_reportSize {
+		return nil, errors.Errorf("%d bytes: %w", len(text), errMalformedReports)
+	}
+	reports := make([]Report, 0, len(data)/_reportSize)
+	for ; len(data) > 0; data = data[_reportSize:] {
+		reports = append(reports, Report{
+			Hash:       binary.BigEndian.Uint32(data),
+			Active:     int(data[4]),
+			Age:        time.Duration(data[5]) * _ageUnit,
+			RefusesFor: time.Duration(data[6]) * _refusalUnit,
+		})
+	}
+	return reports, nil
+}
+
+// encodeUnits returns the number of units in d, rounded up, that fits into a byte.
+func encodeUnits(d, unit time.Duration) byte {
+	return byte(min(max(0, (d+unit-1)/unit), _maxEncoded))
+}
--- /dev/null
+++ b/route/report_test.go
@@ -0,0 +1,167 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/spec"
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+func reportPool(instances int) Pool {
+	var list []Candidate
+	for n := range instances {
+		list = append(list, Candidate{Key: view.Key{Node: fmt.Sprint("n", n), ID: "i"}, Slots: 4})
+	}
+	return NewPool(view.VersionedService{Service: spec.Service{Name: "s"}}, "mida", list)
+}
+
+// TestReportEncoding checks that reports survive their encoding, up to its units, and
+// that other text is rejected.
+func TestReportEncoding(t *testing.T) {
+	cases := []struct{ give, want []Report }{
+		{nil, []Report{}},
+		{
+			[]Report{{Hash: 7, Active: 3, Age: 30 * time.Millisecond, RefusesFor: time.Second}},
+			[]Report{{Hash: 7, Active: 3, Age: 30 * time.Millisecond, RefusesFor: time.Second}},
+		},
+		{
+			[]Report{{Hash: 1, Active: 9000, Age: time.Millisecond, RefusesFor: time.Hour}, {Hash: 2}},
+			[]Report{{Hash: 1, Active: 255, Age: 10 * time.Millisecond, RefusesFor: 5100 * time.Millisecond}, {Hash: 2}},
+		},
+	}
+	for _, c := range cases {
+		got, err := DecodeReports(EncodeReports(c.give))
+		if err != nil || !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%v: %v, %v; want %v", c.give, got, err, c.want)
+		}
+	}
+	for _, text := range []string{"a", "AAAA", "%%%%", EncodeReports(make([]Report, MaxReports+1))} {
+		if got, err := DecodeReports(text); err == nil {
+			t.Errorf("%q: %v", text, got)
+		}
+	}
+}
+
+// FuzzDecodeReports checks that arbitrary text neither panics nor gives more reports
+// than a message may have.
+func FuzzDecodeReports(f *testing.F) {
+	f.Add(EncodeReports([]Report{{Hash: 7, Active: 3}}))
+	f.Fuzz(func(t *testing.T, text string) {
+		reports, err := DecodeReports(text)
+		if err == nil && (len(reports) > MaxReports || EncodeReports(reports) == "" && len(reports) > 0) {
+			t.Fatalf("%d reports", len(reports))
+		}
+	})
+}
+
+// TestMergeKeepsNewer checks that a report replaces only what is older.
+func TestMergeKeepsNewer(t *testing.T) {
+	const now = 10 * time.Second
+	p := reportPool(1)
+	key := p.Candidates[0].Key
+	cases := []struct {
+		name       string
+		reportedAt time.Duration
+		want       int
+		refuses    bool
+	}{
+		{"nothing known", 0, 2, true},
+		{"older", now - time.Second, 2, true},
+		{"newer", now - time.Millisecond, 5, false},
+	}
+	for _, c := range cases {
+		tracker := NewLoadTracker()
+		tracker.Update(key, func(l *Load) { l.Active, l.ReportedAt = 5, c.reportedAt })
+		tracker.Merge(p, []Report{{Hash: hashOf(key), Active: 2, Age: 100 * time.Millisecond, RefusesFor: time.Second}, {Hash: 1, Active: 1}}, now)
+		if got := tracker.Load(key); got.Active != c.want || tracker.refuses(key, now) != c.refuses {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+}
+
+// reportFleet is a fleet of ingresses without a network, in virtual time. A part of the
+// instances refuses all requests for two seconds at a time.
+type reportFleet struct {
+	pool     Pool
+	trackers []*LoadTracker
+	refusing map[view.Key]time.Duration
+	share    bool // whether attempts and their responses carry reports
+}
+
+// send sends a request from an ingress and returns how many owners refused it.
+func (f *reportFleet) send(rng *rand.Rand, ingress int, at time.Duration) int {
+	tracker := f.trackers[ingress]
+	for refused := 0; ; refused++ {
+		c, ok := Choose(f.pool, tracker, Request{At: at, Random: rng.Uint64()})
+		if !ok {
+			return refused
+		}
+		key := c.Candidate.Key
+		until := f.refusing[key]
+		if f.share {
+			// The owner's node is an ingress as well.
+			owner := int(c.Candidate.hash) % len(f.trackers)
+			told := tracker.Reports(f.pool, at, key)
+			tracker.Merge(f.pool, f.trackers[owner].Reports(f.pool, at, key), at)
+			f.trackers[owner].Merge(f.pool, told, at)
+		}
+		tracker.Update(key, func(l *Load) { l.ReportedAt, l.RefusesUntil = at, until })
+		if at >= until {
+			return refused
+		}
+	}
+}
+
+// refusalsPerRequest returns the mean number of refusals that a request meets while
+// every two seconds other instances begin to refuse.
+func refusalsPerRequest(ingresses, instances int, rate float64, share bool) float64 {
+	rng := rand.New(rand.NewPCG(3, 4))
+	f := &reportFleet{pool: reportPool(instances), refusing: map[view.Key]time.Duration{}, share: share}
+	for range ingresses {
+		f.trackers = append(f.trackers, NewLoadTracker())
+	}
+	const seconds, spell, failing = 20, 2 * time.Second, 0.3
+	refused, sent := 0, 0
+	step := time.Duration(float64(time.Second) / (rate * float64(ingresses)))
+	nextSpell := time.Duration(0)
+	for at := time.Second; at < seconds*time.Second; at += step {
+		if at >= nextSpell {
+			nextSpell = at + spell
+			for _, c := range f.pool.Candidates {
+				if rng.Float64() < failing {
+					f.refusing[c.Key] = at + spell
+				}
+			}
+		}
+		refused += f.send(rng, rng.IntN(ingresses), at)
+		sent++
+	}
+	return float64(refused) / float64(sent)
+}
+
+// TestRefusalsAreLearnedFromOthers checks the pattern that each ingress meets each
+// failing instance by itself: with reports on attempts and responses, requests meet at
+// most half of the refusals in a fleet of tens, and two thirds in one of hundreds.
+func TestRefusalsAreLearnedFromOthers(t *testing.T) {
+	cases := []struct {
+		ingresses, instances int
+		rate                 float64 // requests per second and ingress
+		most                 float64 // of the refusals without reports
+	}{
+		{30, 24, 5, 0.5},
+		{30, 24, 20, 0.5},
+		{300, 138, 3, 0.67},
+	}
+	for _, c := range cases {
+		without := refusalsPerRequest(c.ingresses, c.instances, c.rate, false)
+		with := refusalsPerRequest(c.ingresses, c.instances, c.rate, true)
+		t.Logf("%d ingresses, %d instances, %.0f/s: %.3f refusals a request, %.3f without reports", c.ingresses, c.instances, c.rate, with, without)
+		if with > c.most*without {
+			t.Errorf("%d ingresses: %.3f refusals a request, %.3f without reports", c.ingresses, with, without)
+		}
+	}
+}
