Suspicion ends by requests that started after the failure; isolated failures raise none

Cause: the successes of requests that were in flight when an instance turned gray made it trusted again within its service time, and each time another request that must not run twice was lost; and each isolated failure (about one request in a hundred, after its whole work) took an instance away for a while. A failure after a quarter of the typical time is tolerated once now; successes count if they started after the last failure.

--- a/node/detect.go
+++ b/node/detect.go
@@ -187,7 +187,9 @@
 		s.updateGateBreakerLocked(b, false) // the probe was inconclusive: allow another
 	case excused:
 	case failed || !w.outlived:
-		s.updateBreakerLocked(b, trust.ResultMsg{At: s.now(), Failed: failed, Latency: w.instanceTime()})
+		s.updateBreakerLocked(b, trust.ResultMsg{
+			At: s.now(), Failed: failed, Latency: w.instanceTime(), StartedAt: w.startedAt, Typical: w.typicalTime,
+		})
 	}
 }
 
--- a/trust/trust.go
+++ b/trust/trust.go
@@ -22,6 +22,9 @@
 	// long as the last failure took, and at least _minOutlived.
 	_outlivedFactor = 4
 	_minOutlived    = 50 * time.Millisecond
+	// _workedOnShare is the share of a typical latency after which an instance has begun
+	// to work on a request. Instances in trouble mostly fail sooner.
+	_workedOnShare = 0.25
 	// _minRetryAfter is the shortest time that a refused request stays away. A probe in
 	// flight outlives the failures in about that time.
 	_minRetryAfter = 100 * time.Millisecond
@@ -31,13 +34,21 @@
 )
 
 // Model is the state of the breaker of one instance. The zero value trusts it.
+//
+// There are two degrees of suspicion. Requests that other instances have room for avoid
+// an instance until requests that started after its last failure have succeeded. Where
+// the others are full, any successes suffice: an instance that fails in part is worth
+// more than none.
 type Model struct {
-	suspected      bool
-	successes      int           // consecutive, since the last failure
+	suspected      bool          // by requests that other instances have room for
+	open           bool          // for requests that found the others full, too
+	successes      int           // since the last failure, of requests that started after it
+	anySuccesses   int           // since the last failure
 	failedAt       time.Duration // time of the last failure
 	failureLatency time.Duration // latency of the last failure
 	probeDelay     time.Duration // from failedAt to the next probe
 	probeFailed    bool          // whether a probe has failed since the first failure
+	toleratedAt    time.Duration // time of a failure that did not count by itself, or 0
 }
 
 // Msg is a message to the model; At is the time since the process started.
@@ -49,6 +60,16 @@
 	Failed bool
 	// Latency is the time that the instance spent on the request.
 	Latency time.Duration
+	// StartedAt is when the request started at the instance.
+	StartedAt time.Duration
+	// Typical is the latency of a typical request at the instance, or 0 if unknown.
+	Typical time.Duration
+}
+
+// workedOn reports whether the instance spent so much time on the request that it
+// probably failed at the request itself.
+func (msg ResultMsg) workedOn() bool {
+	return msg.Typical > 0 && msg.Latency > max(_minOutlived, time.Duration(_workedOnShare*float64(msg.Typical)))
 }
 
 // OutlivedMsg reports that a running request has outlived the failures; see Outlives.
@@ -76,19 +97,42 @@
 
 func (m Model) result(msg ResultMsg) Model {
 	if !msg.Failed {
-		return m.succeed()
+		return m.onSuccess(msg)
 	}
-	next := Model{suspected: true, failedAt: msg.At, failureLatency: msg.Latency, probeDelay: _firstProbeDelay}
+	if msg.workedOn() && !m.Suspects(msg.At) && !m.tolerated(msg.At) {
+		m.toleratedAt = msg.At
+		return m
+	}
+	next := Model{suspected: true, open: true, failedAt: msg.At, failureLatency: msg.Latency, probeDelay: _firstProbeDelay}
 	if m.Suspects(msg.At) && (m.successes == 0 || m.probeFailed) {
 		next.probeDelay, next.probeFailed = _nextProbeDelay, true
 	}
 	return next
 }
 
+// tolerated reports whether a failure was tolerated lately.
+func (m Model) tolerated(at time.Duration) bool {
+	return m.toleratedAt > 0 && at < m.toleratedAt+_suspicionTTL
+}
+
+// onSuccess counts a request that succeeded. One that started before the last failure
+// shows nothing of the time after it.
+func (m Model) onSuccess(msg ResultMsg) Model {
+	m.toleratedAt = 0
+	if m.suspected && msg.StartedAt < m.failedAt {
+		m.anySuccesses++
+		m.open = m.open && m.anySuccesses < _requiredSuccesses
+		return m
+	}
+	return m.succeed()
+}
+
 // succeed counts a request that succeeded or outlived the failures.
 func (m Model) succeed() Model {
 	m.successes++
+	m.anySuccesses++
 	m.probeDelay = 0
+	m.open = m.open && m.anySuccesses < _requiredSuccesses
 	if m.successes >= _requiredSuccesses {
 		m.suspected, m.probeFailed = false, false
 	}
@@ -101,18 +145,19 @@
 	return elapsed >= max(_minOutlived, _outlivedFactor*m.failureLatency)
 }
 
-// ProbeWindow returns when the next probe may start and when suspicion ends. Both
-// are 0 for a trusted instance.
+// ProbeWindow returns when the next probe may start and when suspicion ends, for
+// requests that found the other instances full. Both are 0 if those are admitted.
 func (m Model) ProbeWindow() (from, until time.Duration) {
-	if !m.suspected {
+	if !m.open {
 		return 0, 0
 	}
 	return m.failedAt + m.probeDelay, m.failedAt + _suspicionTTL
 }
 
-// ProbeFailed reports whether the instance is suspected and has failed a probe.
+// ProbeFailed reports whether the instance admits no requests but probes and has failed
+// one.
 func (m Model) ProbeFailed() bool {
-	return m.suspected && m.probeFailed
+	return m.open && m.probeFailed
 }
 
 // Request is the input of Admits.
@@ -134,7 +179,7 @@
 // Admits reports whether the instance should get a request that another
 // instance could serve.
 func (m Model) Admits(r Request) bool {
-	if !m.Suspects(r.At) {
+	if !m.Suspects(r.At) || r.OthersFull && !m.open {
 		return true
 	}
 	return !r.Once && r.Probes < _maxProbes && r.At >= m.nextProbe(r)
@@ -142,6 +187,9 @@
 
 // RetryAfter returns how long a request that is not admitted should stay away.
 func (m Model) RetryAfter(r Request) time.Duration {
+	if !m.open {
+		return _minRetryAfter
+	}
 	return max(_minRetryAfter, m.nextProbe(r)-r.At)
 }
 
--- a/trust/trust_test.go
+++ b/trust/trust_test.go
@@ -38,7 +38,7 @@
 			if m.Suspects(at) && at < end {
 				probes++
 			}
-			m = m.Update(ResultMsg{At: at, Failed: failed})
+			m = m.Update(ResultMsg{At: at, Failed: failed, StartedAt: at})
 			if at >= end && trusted == 0 && !m.Suspects(at) {
 				trusted = at - end
 			}
@@ -62,6 +62,8 @@
 func TestAdmits(t *testing.T) {
 	const failedAt = time.Second
 	suspected := Model{}.Update(ResultMsg{At: failedAt, Failed: true})
+	succeeded := ResultMsg{At: failedAt + time.Second, StartedAt: failedAt}
+	startedBefore := ResultMsg{At: failedAt + time.Second, StartedAt: failedAt - 1}
 	cases := []struct {
 		name string
 		m    Model
@@ -74,8 +76,9 @@
 		{"probe", suspected, Request{At: failedAt + _firstProbeDelay}, true},
 		{"second concurrent probe", suspected, Request{At: failedAt + _firstProbeDelay, Probes: 1}, false},
 		{"suspicion expired", suspected, Request{At: failedAt + _suspicionTTL, Once: true}, true},
-		{"one success", suspected.Update(ResultMsg{}), Request{At: failedAt + _firstProbeDelay, Once: true}, false},
-		{"two successes", suspected.Update(ResultMsg{}).Update(ResultMsg{}), Request{At: failedAt, Once: true}, true},
+		{"one success", suspected.Update(succeeded), Request{At: failedAt + _firstProbeDelay, Once: true}, false},
+		{"two successes", suspected.Update(succeeded).Update(succeeded), Request{At: failedAt, Once: true}, true},
+		{"two successes that started before the failure", suspected.Update(startedBefore).Update(startedBefore), Request{At: failedAt, Once: true}, false},
 		{"probe failed", suspected.Update(ResultMsg{At: failedAt, Failed: true}), Request{At: failedAt + _nextProbeDelay - 1}, false},
 		{"probe failed, others full", suspected.Update(ResultMsg{At: failedAt, Failed: true}), Request{At: failedAt + _nextProbeDelay/2, OthersFull: true}, true},
 		{"two probes outlived the failures", suspected.Update(OutlivedMsg{}).Update(OutlivedMsg{}), Request{At: failedAt, Once: true}, true},
@@ -127,14 +130,14 @@
 				if probe {
 					probes++
 				}
-				m = m.Update(ResultMsg{At: at, Failed: true, Latency: failLatency})
+				m = m.Update(ResultMsg{At: at, Failed: true, Latency: failLatency, StartedAt: at})
 			case probe:
 				if !m.Outlives(latency) || m.Outlives(failLatency) {
 					t.Fatal("Outlives does not tell a running request from a failure")
 				}
 				outlived = append(outlived, at+_minOutlived)
 			default:
-				m = m.Update(ResultMsg{At: at})
+				m = m.Update(ResultMsg{At: at, StartedAt: at})
 			}
 		}
 		untrusted += trusted
