Processes wake up when something is due, and peers are asked rarely in calm times

Cause: an idle node woke up 160 times a second and a control host 1,233 times: tickers of 20 and 50 ms, a pull from a peer every 700 ms beside the poll of control, and a loop that probed unreachable owners when there were none. The gossip and raft models now say when they need their next tick; the clock of a node ticks every 50 ms only while attempts are queued or may show a recovery, every 250 ms while requests run, else every second. Control hosts say whether they are in touch with a leader; while they do, peers are pulled from every 5 s.

--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,7 @@
 
 const (
 	_tick          = 20 * time.Millisecond
+	_minTickDelay  = 2 * time.Millisecond
 	_inboxCapacity = 4096
 	_maxBatch      = 512
 	_compactAfter  = 10000
@@ -56,6 +58,8 @@
 	inbox chan any
 	done  chan struct{}
 
+	inTouch atomic.Bool // as of the last message or tick
+
 	mu      sync.RWMutex
 	state   store.Model
 	status  Status
@@ -134,14 +138,14 @@
 func (r *Replica) Run(ctx context.Context) error {
 	defer r.encoders.Wait()
 	defer close(r.done)
-	ticker := time.NewTicker(_tick)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		var msgs []any
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		case item := <-r.inbox:
 			msgs = r.messages(item)
 		}
@@ -151,9 +155,16 @@
 				return errors.Errorf("group %d: %w", r.cfg.Group, err)
 			}
 		}
+		r.inTouch.Store(r.model.InTouch())
+		timer.Reset(max(_minTickDelay, r.model.NextTick()-time.Since(r.cfg.Start)))
 	}
 }
 
+// InTouch reports whether the replica leads or follows a leader that it hears from.
+func (r *Replica) InTouch() bool {
+	return r.inTouch.Load()
+}
+
 // Submit proposes a command and waits for its result. It returns ErrNotLeader if
 // another replica leads.
 func (r *Replica) Submit(ctx context.Context, c store.Command) (store.Result, error) {
--- a/ctrl/rpc.go
+++ b/ctrl/rpc.go
@@ -205,7 +205,7 @@
 	}
 	s.replica.Read(func(m store.Model) {
 		v := m.View()
-		delta = proto.Delta{Cluster: v.Cluster, From: msg.Rev, Rev: v.Rev, Control: control}
+		delta = proto.Delta{Cluster: v.Cluster, From: msg.Rev, Rev: v.Rev, Control: control, Current: s.replica.InTouch()}
 		if msg.Cluster != 0 && msg.Cluster != v.Cluster {
 			return
 		}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -13,10 +13,15 @@
 
 const (
 	// A pull from an isolated control host blocks for about _defaultPollTimeout, and
-	// a peer is pulled from every _defaultGossipInterval, so that a change reaches every
-	// node within two seconds.
+	// then a peer is pulled from every _defaultGossipInterval, so that a change reaches
+	// every node within two seconds.
 	_defaultPollTimeout    = time.Second
 	_defaultGossipInterval = 700 * time.Millisecond
+	// _calmGossipInterval is the time between pulls from peers while control hosts in
+	// touch with a leader reply to the polls.
+	_calmGossipInterval = 5 * time.Second
+	// _currentTTL is how long such a reply counts: a poll and its margin.
+	_currentTTL = 1500 * time.Millisecond
 	_defaultRetryDelay     = 200 * time.Millisecond
 	_history               = 2000 // events
 )
@@ -50,13 +55,14 @@
 	polling      bool
 	pollAt       time.Duration
 	gossiping    bool
-	gossipAt     time.Duration
 	controlIndex int
 	gossipRound  uint64
 	at           time.Duration
 	rumors       map[view.Key]receivedRumor
 	controlRev   uint64 // the revision that control was learned at, 0 if only configured
 	pruneAt      time.Duration
+	gossipedAt   time.Duration
+	currentUntil time.Duration // control hosts count as reachable until then
 }
 
 // New returns a model with an empty view.
@@ -123,10 +129,10 @@
 		addr := m.control[m.controlIndex%len(m.control)]
 		cmds = append(cmds, PullCmd{Source: Control, Addr: addr, Pull: m.pull(m.cfg.PollTimeout)})
 	}
-	if m.gossiping || at < m.gossipAt {
+	if m.gossiping || at < m.gossipAt() {
 		return m, cmds
 	}
-	m.gossipAt = at + m.cfg.GossipInterval
+	m.gossipedAt = at
 	m.gossipRound++
 	if addr := m.gossipPeer(); addr != "" {
 		m.gossiping = true
@@ -135,6 +141,30 @@
 	return m, cmds
 }
 
+// gossipAt returns when to pull from a peer again.
+func (m Model) gossipAt() time.Duration {
+	if m.gossipedAt == 0 {
+		return 0
+	}
+	if m.at < m.currentUntil {
+		return m.gossipedAt + _calmGossipInterval
+	}
+	return m.gossipedAt + m.cfg.GossipInterval
+}
+
+// NextTick returns when the model needs its next TickMsg, unless another message comes
+// first.
+func (m Model) NextTick() time.Duration {
+	next := m.pruneAt
+	if !m.polling && len(m.control) > 0 {
+		next = min(next, m.pollAt)
+	}
+	if !m.gossiping {
+		next = min(next, m.gossipAt(), max(m.currentUntil, m.gossipedAt+m.cfg.GossipInterval))
+	}
+	return next
+}
+
 func (m Model) pull(wait time.Duration) proto.Pull {
 	return proto.Pull{Node: m.cfg.Node, Cluster: m.view.Cluster, Rev: m.view.Rev, Wait: wait}
 }
@@ -180,6 +210,7 @@
 		return m
 	}
 	m.polling = false
+	m.currentUntil = 0
 	m.pollAt = msg.At + m.cfg.RetryDelay
 	m.controlIndex++
 	return m
@@ -236,6 +267,10 @@
 	}
 	m.polling = false
 	m.pollAt = msg.At
+	m.currentUntil = 0
+	if msg.Delta.Current {
+		m.currentUntil = msg.At + _currentTTL
+	}
 	if !advanced {
 		m.controlIndex++
 	}
--- a/node/detect.go
+++ b/node/detect.go
@@ -74,6 +74,11 @@
 	w.request = request
 	w.once = once
 	b.inFlight[ref] = w
+	if w.probe {
+		s.tickWithinLocked(_tickInterval)
+	} else {
+		s.tickWithinLocked(_busyTickInterval)
+	}
 	return b.transport(once), b.instance.Addr, w
 }
 
@@ -196,6 +201,9 @@
 // updateBreakerLocked updates an instance's breaker and passes its state to the gate.
 func (s *Server) updateBreakerLocked(b *backend, msg trust.Msg) {
 	b.breaker = b.breaker.Update(msg)
+	if b.breaker.Suspects(s.now()) && len(b.inFlight) > 0 {
+		s.tickWithinLocked(_tickInterval)
+	}
 	s.updateGateBreakerLocked(b, b.breaker.ProbeFailed())
 }
 
--- a/node/feedback.go
+++ b/node/feedback.go
@@ -27,6 +27,7 @@
 // markUnreachable keeps requests away from an owner until a probe reaches it.
 func (s *Server) markUnreachable(c route.Candidate) {
 	s.fleet.setUnreachable(c.Addr, true)
+	defer s.probeSoon()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.unreachable[c.Addr] {
@@ -38,13 +39,14 @@
 // probeUnreachable probes unreachable owners at an interval, so that those that
 // are reachable again receive requests.
 func (s *Server) probeUnreachable(ctx context.Context) error {
-	ticker := time.NewTicker(_probeInterval)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-s.unreachableNow:
+		}
+		if !sleep(ctx, _probeInterval) {
+			return nil
 		}
 		s.mu.Lock()
 		addrs := slices.Collect(maps.Keys(s.unreachable))
@@ -52,6 +54,17 @@
 		for _, addr := range addrs {
 			go s.probeOwner(ctx, addr)
 		}
+		if len(addrs) > 0 {
+			s.probeSoon()
+		}
+	}
+}
+
+// probeSoon starts the interval until the unreachable owners are probed.
+func (s *Server) probeSoon() {
+	select {
+	case s.unreachableNow <- struct{}{}:
+	default:
 	}
 }
 
--- a/node/owner.go
+++ b/node/owner.go
@@ -307,6 +307,9 @@
 			return duplicateCmd
 		}
 	}
+	if len(cmds) == 0 {
+		s.tickWithinLocked(_tickInterval) // the attempt is queued
+	}
 	s.mu.Unlock()
 	j.acknowledge(cmds)
 	select {
--- a/node/server.go
+++ b/node/server.go
@@ -22,7 +22,11 @@
 )
 
 const (
-	_tickInterval      = 50 * time.Millisecond
+	_tickInterval = 50 * time.Millisecond
+	// _busyTickInterval and _idleTickInterval are the times between two ticks of the
+	// clock while requests run that nothing waits for, and while none run.
+	_busyTickInterval  = 250 * time.Millisecond
+	_idleTickInterval  = time.Second
 	_heartbeatInterval = 2 * time.Second
 	_callTimeout       = 2 * time.Second
 	_submitTimeout     = 3 * time.Second
@@ -59,6 +63,9 @@
 	ownerConns   *ownerConns
 	viewSync     *viewSync
 	heartbeatNow chan struct{}
+	clockNow     chan struct{}
+	// unreachableNow has an element while the unreachable owners are to be probed.
+	unreachableNow chan struct{}
 
 	mu              sync.Mutex
 	gate            gate.Model
@@ -72,6 +79,7 @@
 	calls           origin.Model
 	stopping        atomic.Bool
 	stopRequestedAt atomic.Int64 // time since start at which the stop was requested; 0 if running
+	nextTick        time.Duration
 	handoverAt      atomic.Int64 // time since start at which a successor took over; 0 if none did
 
 	tookOver bool // from a predecessor that was still running
@@ -91,6 +99,8 @@
 		client:          wire.NewClient(cfg.Settings.Key, proto.Codec),
 		meter:           meter.New("node"),
 		heartbeatNow:    make(chan struct{}, 1),
+		clockNow:        make(chan struct{}, 1),
+		unreachableNow:  make(chan struct{}, 1),
 		gate:            gate.New(gate.Config{}),
 		waiting:         map[ledger.Ref]chan gate.Cmd{},
 		leaders:         map[uint32]string{},
@@ -138,19 +148,66 @@
 	return time.Since(s.start)
 }
 
-// runClock advances the models at each tick.
+// runClock advances the models at each tick. Ticks are rare while nothing waits for one.
 func (s *Server) runClock(ctx context.Context) error {
-	ticker := time.NewTicker(_tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(_tickInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-s.clockNow:
+			timer.Reset(s.bringTickForward())
+			continue
+		case <-timer.C:
 			s.expireLeases()
 			s.updateGate(gate.ClockMsg{At: s.now()})
 			s.checkBackends()
 		}
+		timer.Reset(s.scheduleTick())
+	}
+}
+
+// scheduleTick sets when the clock ticks next and returns the time until then: short
+// while attempts are queued, or run at an instance whose recovery they may show.
+func (s *Server) scheduleTick() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := s.tickIntervalLocked()
+	s.nextTick = s.now() + next
+	return next
+}
+
+// bringTickForward returns the time until the clock's next tick, which is not later than
+// the one that was scheduled.
+func (s *Server) bringTickForward() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextTick = min(s.nextTick, s.now()+s.tickIntervalLocked())
+	return s.nextTick - s.now()
+}
+
+func (s *Server) tickIntervalLocked() time.Duration {
+	next := _idleTickInterval
+	for id, b := range s.backends {
+		switch {
+		case s.gate.Load(id, s.now()).Queued > 0 || len(b.inFlight) > 0 && b.breaker.Suspects(s.now()):
+			return _tickInterval
+		case len(b.inFlight) > 0:
+			next = _busyTickInterval
+		}
+	}
+	return next
+}
+
+// tickWithinLocked brings the clock's next tick forward if it is further away than d.
+func (s *Server) tickWithinLocked(d time.Duration) {
+	if s.nextTick <= s.now()+d {
+		return
+	}
+	select {
+	case s.clockNow <- struct{}{}:
+	default:
 	}
 }
 
--- a/node/viewsync.go
+++ b/node/viewsync.go
@@ -15,6 +15,9 @@
 // before another source is asked. A round trip takes a few milliseconds.
 const _pullMargin = 400 * time.Millisecond
 
+// _minTickDelay is the shortest time between two ticks of the gossip model.
+const _minTickDelay = 5 * time.Millisecond
+
 // viewSync runs the gossip model, which keeps the view up to date. Once the loop runs,
 // only it accesses the model.
 type viewSync struct {
@@ -71,8 +74,8 @@
 }
 
 func (v *viewSync) run(ctx context.Context) error {
-	ticker := time.NewTicker(_tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -82,9 +85,11 @@
 			close(c.done)
 		case msg := <-v.inbox:
 			v.update(ctx, msg)
-		case <-ticker.C:
-			v.update(ctx, gossip.TickMsg{At: v.server.now()})
+		case <-timer.C:
 		}
+		// The model may act on what it has learned, and sets the next time to do so.
+		v.update(ctx, gossip.TickMsg{At: v.server.now()})
+		timer.Reset(max(_minTickDelay, v.model.NextTick()-v.server.now()))
 	}
 }
 
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -29,6 +29,8 @@
 	// Control lists the addresses of the control hosts, if the sender includes
 	// them.
 	Control []string `json:"control,omitempty"`
+	// Current reports whether the sender is a control host in touch with a leader.
+	Current bool `json:"current,omitempty"`
 	// Rumors is what nodes gossip while no control host is reachable.
 	Rumors []Rumor `json:"rumors,omitempty"`
 }
--- a/raft/elect.go
+++ b/raft/elect.go
@@ -66,6 +66,12 @@
 	return append(cmds, m.send(from, reply)...)
 }
 
+// InTouch reports whether the replica leads, or has heard from a leader within the
+// election timeout. A leader without a quorum steps down after that time.
+func (m Model) InTouch() bool {
+	return m.hasActiveLeader()
+}
+
 func (m *Model) hasActiveLeader() bool {
 	if m.role == Leader {
 		return true
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -174,6 +174,20 @@
 	return m.campaign(true, false)
 }
 
+// NextTick returns when the model needs its next TickMsg, unless another message comes
+// first.
+func (m Model) NextTick() time.Duration {
+	switch contactEnds := m.leaderContact + m.cfg.ElectionTimeout; {
+	case m.role == Leader:
+		return m.nextHeartbeat
+	case m.leader != 0 && m.now < contactEnds:
+		return min(contactEnds, m.deadline)
+	case !m.isVoter(m.cfg.ID):
+		return m.now + m.cfg.ElectionTimeout
+	}
+	return m.deadline
+}
+
 func (m *Model) receive(msg ReceiveMsg) []Cmd {
 	if msg.Lineage < m.lineage && isRequest(msg.Body) {
 		to := Peer{ID: msg.From, Name: msg.Name}
