--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -21,9 +21,9 @@
 	// touch with a leader reply to the polls.
 	_calmGossipInterval = 5 * time.Second
 	// _currentTTL is how long such a reply counts: a poll and its margin.
-	_currentTTL = 1500 * time.Millisecond
-	_defaultRetryDelay     = 200 * time.Millisecond
-	_history               = 2000 // events
+	_currentTTL        = 1500 * time.Millisecond
+	_defaultRetryDelay = 200 * time.Millisecond
+	_history           = 2000 // events
 )
 
 // Config configures a model; zero durations select the defaults.
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -232,3 +232,32 @@
 		t.Errorf("no progress after the recovery: %v", c.violation)
 	}
 }
+
+// TestNextTick checks that a replica asks for its next tick early enough to act on time:
+// a leader for its heartbeats, a follower for the end of its contact and for its election
+// timeout.
+func TestNextTick(t *testing.T) {
+	m := New(Config{ID: 1}, State{})
+	m, _ = m.Update(BootstrapMsg{Peer: Peer{ID: 1, Name: "a"}})
+	now := time.Duration(0)
+	for range 200 {
+		now = max(now+time.Millisecond, m.NextTick())
+		m, _ = m.Update(TickMsg{At: now})
+	}
+	if !m.InTouch() {
+		t.Fatal("the only replica does not lead")
+	}
+	if next := m.NextTick(); next <= now || next > now+_defaultHeartbeatInterval {
+		t.Errorf("a leader's next tick comes after %v", next-now)
+	}
+	follower := New(Config{ID: 2}, State{})
+	follower, _ = follower.Update(TickMsg{At: now})
+	follower, _ = follower.Update(ReceiveMsg{From: 1, Name: "a", Body: Append{Term: 1}})
+	if !follower.InTouch() || follower.NextTick() > now+_defaultElectionTimeout {
+		t.Errorf("a follower's next tick comes after %v, in touch: %t", follower.NextTick()-now, follower.InTouch())
+	}
+	follower, _ = follower.Update(TickMsg{At: follower.NextTick()})
+	if follower.InTouch() {
+		t.Error("a follower without heartbeats stays in touch")
+	}
+}
