--- a/node/attempt.go
+++ b/node/attempt.go
@@ -184,7 +184,7 @@
 		},
 	})
 	watch := e.watchResponse(res.ctx, model, res)
-	transport := e.server.ownerConns.transport(res.choice.Candidate.Addr)
+	transport := e.server.ownerConns.transport(res.choice.Candidate.Addr, res.choice.Candidate.Center)
 	response, err := transport.RoundTrip(e.newAttemptRequest(traced, res)) //nolint:bodyclose // closed by res.close
 	abandonReason, deadConns := watch.stop()
 	if err != nil {
--- a/node/conns.go
+++ b/node/conns.go
@@ -1,16 +1,19 @@
 package node
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damaskpitch/damaskpitch/route"
 )
 
 const (
-	// _dialTimeout exceeds the round-trip time between regions. Trying another
-	// instance after it is faster than waiting for TCP to retransmit a lost packet.
-	_dialTimeout     = 300 * time.Millisecond
+	_dialTimeout     = route.MaxConnectTimeout // to instances
 	_connIdleTimeout = 30 * time.Second
 	_maxIdleConns    = 64
 	// _maxOwnerHeaderBytes leaves room for what an owner adds to an instance's header.
@@ -37,20 +40,24 @@
 type ownerConns struct {
 	mu         sync.Mutex
 	transports map[string]*http.Transport
+
+	connectTimes route.ConnectTimes
 }
 
 func newOwnerConns() *ownerConns {
 	return &ownerConns{transports: map[string]*http.Transport{}}
 }
 
-func (c *ownerConns) transport(addr string) *http.Transport {
+// transport returns the transport for an owner's address in a data centre.
+func (c *ownerConns) transport(addr, center string) *http.Transport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t, ok := c.transports[addr]
 	if !ok {
-		dialer := &net.Dialer{Timeout: _dialTimeout}
 		t = &http.Transport{
-			DialContext:            dialer.DialContext,
+			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				return c.dial(ctx, network, addr, center)
+			},
 			IdleConnTimeout:        _connIdleTimeout,
 			MaxIdleConnsPerHost:    _maxIdleConns,
 			DisableCompression:     true,
@@ -62,6 +69,28 @@
 	return t
 }
 
+// dial connects to an owner within the time that connects to its data centre take.
+func (c *ownerConns) dial(ctx context.Context, network, addr, center string) (net.Conn, error) {
+	c.mu.Lock()
+	dialer := &net.Dialer{Timeout: c.connectTimes.Timeout(center)}
+	c.mu.Unlock()
+	started := time.Now()
+	conn, err := dialer.DialContext(ctx, network, addr)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var timeout net.Error
+	switch {
+	case err == nil:
+		c.connectTimes = c.connectTimes.WithConnect(center, time.Since(started))
+	case ctx.Err() == nil && errors.As(err, &timeout) && timeout.Timeout():
+		c.connectTimes = c.connectTimes.WithTimeout(center)
+	}
+	if err != nil {
+		return nil, errors.Errorf("connect to an owner: %w", err)
+	}
+	return conn, nil
+}
+
 // dropConns closes the idle connections to an address and prevents the busy ones
 // from being reused.
 func (c *ownerConns) dropConns(addr string) {
