--- a/node/attempt.go
+++ b/node/attempt.go
@@ -48,7 +48,9 @@
 	retrySameInstance bool         // the same instance may be tried again
 	revoked           atomic.Bool  // its owner has not run it and never will
 	acked             atomic.Bool  // the owner acknowledged it
-	lostRace          atomic.Bool  // another attempt won; how this one ended says nothing of the instance
+	// recovered is the response that was fetched after it had been lost on its way.
+	recovered atomic.Pointer[proto.StoredResponse]
+	lostRace  atomic.Bool // another attempt won; how this one ended says nothing of the instance
 }
 
 // close releases the response body and the context of the attempt.
@@ -187,6 +189,10 @@
 	transport := e.server.ownerConns.transport(res.choice.Candidate.Addr, res.choice.Candidate.Center)
 	response, err := transport.RoundTrip(e.newAttemptRequest(traced, res)) //nolint:bodyclose // closed by res.close
 	abandonReason, deadConns := watch.stop()
+	if stored := res.recovered.Load(); err != nil && stored != nil {
+		e.recover(res, stored)
+		return
+	}
 	if err != nil {
 		res.maybeSent = res.transportSends.Load() > 0 && !res.revoked.Load()
 		res.retryIsFree = !res.maybeSent
@@ -209,6 +215,15 @@
 	e.parseResponse(res)
 }
 
+// recover continues with a response that was fetched from the owner.
+func (e *exchange) recover(res *attemptResult, stored *proto.StoredResponse) {
+	e.server.stats.recovered.Inc(1)
+	e.server.log.Info("fetched a lost response from the owner", slog.String("request", e.id),
+		slog.String("instance", res.choice.Candidate.Key.ID), slog.Duration("after", time.Since(res.startedAt)))
+	res.response = httpResponse(stored)
+	e.parseResponse(res)
+}
+
 // applyResult updates the request and its instance search with the outcome of
 // an attempt.
 func (e *exchange) applyResult(res *attemptResult) {
@@ -354,15 +369,16 @@
 
 // queryAttempt asks the owner for the state of an attempt, and to revoke it if revoke
 // is set: over a new connection, or through other nodes if that fails.
-func (s *Server) queryAttempt(ctx context.Context, res *attemptResult, revoke bool) (ledger.State, bool) {
+// It also asks for the response.
+func (s *Server) queryAttempt(ctx context.Context, res *attemptResult, revoke bool) (proto.AttemptStatus, bool) {
 	// The outcome is recorded even if the caller has disconnected.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*_queryTimeout)
 	defer cancel()
 	c := res.choice.Candidate
-	msg := proto.AttemptQuery{Attempt: res.ref, Instance: c.Key.ID, OwnerEpoch: c.Epoch, Revoke: revoke}
+	msg := proto.AttemptQuery{Attempt: res.ref, Instance: c.Key.ID, OwnerEpoch: c.Epoch, Revoke: revoke, Response: true}
 	status, err := s.queryOwner(ctx, c.Addr, msg)
 	if err == nil {
-		return status.State, true
+		return status, true
 	}
 	s.markUnreachable(c)
 	return s.queryOwnerViaPeers(ctx, c.Addr, msg)
@@ -385,10 +401,10 @@
 
 // queryOwnerViaPeers asks other nodes to query the owner: an owner that this node
 // cannot reach is usually reachable from another one.
-func (s *Server) queryOwnerViaPeers(ctx context.Context, addr string, msg proto.AttemptQuery) (ledger.State, bool) {
+func (s *Server) queryOwnerViaPeers(ctx context.Context, addr string, msg proto.AttemptQuery) (proto.AttemptStatus, bool) {
 	var peers []string
 	if !s.viewSync.withModel(ctx, func(m gossip.Model) { peers = m.RandomPeers(_maxRelayPeers, addr) }) {
-		return "", false
+		return proto.AttemptStatus{}, false
 	}
 	statuses := make(chan proto.AttemptStatus, len(peers))
 	var queries sync.WaitGroup
@@ -403,8 +419,8 @@
 	queries.Wait()
 	select {
 	case status := <-statuses:
-		return status.State, true
+		return status, true
 	default:
-		return "", false
+		return proto.AttemptStatus{}, false
 	}
 }
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -88,6 +88,11 @@
 	if res.response == nil {
 		return call.LostMsg{Sent: res.maybeSent, Reason: res.reason, TimeLeft: time.Until(e.deadline)}
 	}
+	return e.responseMsg(res)
+}
+
+// responseMsg returns the message that reports the response to an attempt.
+func (e *exchange) responseMsg(res *attemptResult) call.Msg {
 	return call.ResponseMsg{
 		Execution: res.execution,
 		Reason:    res.reason,
@@ -113,8 +118,12 @@
 // revokeLast revokes the last attempt at its owner and returns the state that the
 // owner reports.
 func (e *exchange) revokeLast(ctx context.Context) call.Msg {
-	state, known := e.server.queryAttempt(ctx, e.lastResult, true)
-	return call.RevokeResultMsg{Known: known, State: state, TimeLeft: time.Until(e.deadline)}
+	status, known := e.server.queryAttempt(ctx, e.lastResult, true)
+	if status.Response != nil {
+		e.recover(e.lastResult, status.Response)
+		return e.responseMsg(e.lastResult)
+	}
+	return call.RevokeResultMsg{Known: known, State: status.State, TimeLeft: time.Until(e.deadline)}
 }
 
 // retryQuota returns a function that gives this owner's part of the fleet-wide
--- a/node/hedge.go
+++ b/node/hedge.go
@@ -128,8 +128,8 @@
 	if res.response != nil || !res.maybeSent {
 		return
 	}
-	state, reached := s.queryAttempt(context.Background(), res, false)
-	if reached && state == ledger.Absent {
+	status, reached := s.queryAttempt(context.Background(), res, false)
+	if reached && status.State == ledger.Absent {
 		s.stats.silent.Inc(1)
 		s.ownerConns.dropConns(res.choice.Candidate.Addr)
 	}
--- a/node/owner.go
+++ b/node/owner.go
@@ -77,16 +77,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !msg.Revoke {
-		return proto.AttemptStatus{State: s.gate.State(msg.Attempt)}
+		return s.withResponse(msg, s.gate.State(msg.Attempt))
 	}
 	for _, cmd := range s.updateGateLocked(gate.RevokeMsg{ID: msg.Instance, Ref: msg.Attempt, At: s.now()}) {
 		if revoked, ok := cmd.(gate.RevokeResultCmd); ok {
-			return proto.AttemptStatus{State: revoked.State}
+			return s.withResponse(msg, revoked.State)
 		}
 	}
 	return proto.AttemptStatus{State: ledger.Forgotten}
 }
 
+// withResponse returns the status of an attempt with its response, if the query asks for
+// it and the attempt has finished.
+func (s *Server) withResponse(msg proto.AttemptQuery, state ledger.State) proto.AttemptStatus {
+	status := proto.AttemptStatus{State: state}
+	if msg.Response && state == ledger.Finished {
+		status.Response = s.responses.get(msg.Attempt)
+	}
+	return status
+}
+
 // serveAttempt handles an attempt from an ingress: it runs the attempt at an instance,
 // or guarantees that the attempt never runs.
 func (s *Server) serveAttempt(w http.ResponseWriter, r *http.Request) {
--- a/node/reply.go
+++ b/node/reply.go
@@ -43,7 +43,9 @@
 	}
 	j.setLoadHeaders()
 	j.w.WriteHeader(response.StatusCode)
-	err := streamBody(j.w, response.Body, w)
+	body := &capturedBody{ReadCloser: response.Body}
+	err := streamBody(j.w, body, w)
+	j.store(response, body, err)
 	outcome := workDone
 	switch {
 	case errors.Is(err, errCallerGone):
--- a/node/server.go
+++ b/node/server.go
@@ -60,6 +60,7 @@
 	meter        meter.Meter
 	stats        stats
 	fleet        *fleet
+	responses    *responseStore
 	ownerConns   *ownerConns
 	viewSync     *viewSync
 	heartbeatNow chan struct{}
@@ -112,6 +113,7 @@
 	s.stats = newStats(s.meter.Scope)
 	s.epoch.Store(uint64(s.start.UnixMilli()))
 	s.fleet = newFleet(cfg.Settings.Center)
+	s.responses = newResponseStore()
 	s.ownerConns = newOwnerConns()
 	s.viewSync = newViewSync(s)
 	return s
--- a/node/stats.go
+++ b/node/stats.go
@@ -17,6 +17,7 @@
 	broken    tally.Counter
 	resumed   tally.Counter
 	silent    tally.Counter
+	recovered tally.Counter
 	ejections tally.Counter
 	denied    tally.Counter
 	started   tally.Counter
@@ -39,6 +40,7 @@
 		broken:    scope.Counter("broken"),
 		resumed:   scope.Counter("resumed"),
 		silent:    scope.Counter("silent"),
+		recovered: scope.Counter("recovered"),
 		ejections: scope.Counter("ejections"),
 		denied:    scope.Counter("denied"),
 		started:   scope.Counter("started"),
--- a/node/timeout.go
+++ b/node/timeout.go
@@ -65,7 +65,8 @@
 // revoked: if its owner has not started it, it can be sent again at once.
 func (e *exchange) checkAttempt(ctx context.Context, model call.Model, res *attemptResult, w *responseWatch) (time.Duration, bool) {
 	acked := res.acked.Load()
-	state, reached := e.server.queryAttempt(ctx, res, !acked)
+	status, reached := e.server.queryAttempt(ctx, res, !acked)
+	state := status.State
 	if res.acked.Load() != acked {
 		return res.silenceTimeout(), true
 	}
@@ -84,6 +85,7 @@
 				next = _acknowledgeTimeout
 			}
 		case call.AbandonCmd:
+			res.recovered.Store(status.Response)
 			res.revoked.Store(cmd.NotRun)
 			e.abandon(res, cmd, w)
 			return 0, false
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -1,10 +1,12 @@
 package proto
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/damaskpitch/damaskpitch/ledger"
 	"github.com/damaskpitch/damaskpitch/raft"
+	"github.com/damaskpitch/damaskpitch/spec"
 	"github.com/damaskpitch/damaskpitch/store"
 	"github.com/damaskpitch/damaskpitch/view"
 	"github.com/damaskpitch/damaskpitch/wire"
@@ -177,6 +179,8 @@
 	Instance   string     `json:"instance"`
 	OwnerEpoch uint64     `json:"owner"`
 	Revoke     bool       `json:"revoke"`
+	// Response asks for the response of an attempt that has finished.
+	Response bool `json:"response,omitempty"`
 }
 
 // RelayQuery asks a node to forward a query to an owner that the sender cannot
@@ -189,6 +193,33 @@
 // AttemptStatus is the reply to AttemptQuery.
 type AttemptStatus struct {
 	State ledger.State `json:"state"`
+	// Response is the response of a finished attempt, if it was asked for and the owner
+	// still has it.
+	Response *StoredResponse `json:"response,omitempty"`
+}
+
+// StoredResponse is a response that an owner keeps for an ingress that has lost it.
+type StoredResponse struct {
+	Status int                 `json:"status"`
+	Header map[string][]string `json:"header"`
+	Body   []byte              `json:"body"`
+}
+
+// Check returns a FieldError for the first invalid field.
+func (r StoredResponse) Check() error {
+	const minStatus, maxStatus = 200, 599
+	if r.Status < minStatus || r.Status > maxStatus {
+		return &spec.FieldError{Field: "StoredResponse.status", Value: strconv.Itoa(r.Status), Want: "200 to 599"}
+	}
+	return nil
+}
+
+// Check returns a FieldError for the first invalid field.
+func (s AttemptStatus) Check() error {
+	if s.Response == nil {
+		return nil
+	}
+	return s.Response.Check()
 }
 
 // TakeOver asks a running node for the state that its successor needs.
