--- a/route/report.go
+++ b/route/report.go
@@ -27,6 +27,7 @@
 	_ageUnit     = 10 * time.Millisecond
 	_refusalUnit = 20 * time.Millisecond
 	_maxEncoded  = 255
+	_maxAge      = _maxEncoded * _ageUnit
 )
 
 // errMalformedReports reports an encoding of reports that cannot be decoded.
@@ -57,7 +58,7 @@
 	for _, c := range p.Candidates {
 		l, known := t.loads[c.Key]
 		age := at - l.ReportedAt
-		if !known || l.ReportedAt == 0 || c.Key == except || age >= _loadMaxAge && at >= l.RefusesUntil {
+		if !known || l.ReportedAt == 0 || c.Key == except || age > _maxAge || age >= _loadMaxAge && at >= l.RefusesUntil {
 			continue
 		}
 		r := Report{Hash: c.hash, Active: l.Active, Age: age, RefusesFor: max(0, l.RefusesUntil-at)}
@@ -101,7 +102,10 @@
 	data := make([]byte, 0, len(reports)*_reportSize)
 	for _, r := range reports {
 		data = binary.BigEndian.AppendUint32(data, r.Hash)
-		data = append(data, encodeUnits(time.Duration(r.Active), 1), encodeUnits(r.Age, _ageUnit), encodeUnits(r.RefusesFor, _refusalUnit))
+		data = append(data, encodeUnits(time.Duration(r.Active), 1))
+		// An age is rounded up and a refusal down: a report that passes through many
+		// nodes gets older and ends in time.
+		data = append(data, encodeUnits(r.Age+_ageUnit-1, _ageUnit), encodeUnits(r.RefusesFor, _refusalUnit))
 	}
 	return base64.RawStdEncoding.EncodeToString(data)
 }
@@ -125,7 +129,7 @@
 	return reports, nil
 }
 
-// encodeUnits returns the number of units in d, rounded up, that fits into a byte.
+// encodeUnits returns the number of whole units in d, as far as it fits into a byte.
 func encodeUnits(d, unit time.Duration) byte {
-	return byte(min(max(0, (d+unit-1)/unit), _maxEncoded))
+	return byte(min(max(0, d/unit), _maxEncoded))
 }
--- a/route/report_test.go
+++ b/route/report_test.go
@@ -83,6 +83,32 @@
 	}
 }
 
+// TestRefusalEndsInTime checks that a refusal ends when its owner said, and not later,
+// however often ingresses tell each other of it.
+func TestRefusalEndsInTime(t *testing.T) {
+	const refusal = 5 * time.Second
+	p := reportPool(2)
+	key := p.Candidates[0].Key
+	trackers := []*LoadTracker{NewLoadTracker(), NewLoadTracker(), NewLoadTracker()}
+	start := time.Second
+	trackers[0].Update(key, func(l *Load) { l.ReportedAt, l.RefusesUntil = start, start+refusal })
+	for step, at := 0, start; at < start+2*refusal; step, at = step+1, at+700*time.Microsecond {
+		n := step % len(trackers)
+		told, err := DecodeReports(EncodeReports(trackers[n].Reports(p, at, p.Candidates[1].Key)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, other := range trackers {
+			if i != n {
+				other.Merge(p, told, at)
+			}
+			if other.refuses(key, at) && at >= start+refusal {
+				t.Fatalf("the refusal still holds after %v", at-start)
+			}
+		}
+	}
+}
+
 // reportFleet is a fleet of ingresses without a network, in virtual time. A part of the
 // instances refuses all requests for two seconds at a time.
 type reportFleet struct {
