--- a/node/owner.go
+++ b/node/owner.go
@@ -68,35 +68,6 @@
 	return nil, errors.Newf("unexpected message %T", msg)
 }
 
-// attemptStatus returns the state of an attempt, which it first revokes if the query
-// asks for it.
-func (s *Server) attemptStatus(msg proto.AttemptQuery) proto.AttemptStatus {
-	if msg.OwnerEpoch != s.epoch.Load() {
-		return proto.AttemptStatus{State: ledger.Forgotten}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !msg.Revoke {
-		return s.withResponse(msg, s.gate.State(msg.Attempt))
-	}
-	for _, cmd := range s.updateGateLocked(gate.RevokeMsg{ID: msg.Instance, Ref: msg.Attempt, At: s.now()}) {
-		if revoked, ok := cmd.(gate.RevokeResultCmd); ok {
-			return s.withResponse(msg, revoked.State)
-		}
-	}
-	return proto.AttemptStatus{State: ledger.Forgotten}
-}
-
-// withResponse returns the status of an attempt with its response, if the query asks for
-// it and the attempt has finished.
-func (s *Server) withResponse(msg proto.AttemptQuery, state ledger.State) proto.AttemptStatus {
-	status := proto.AttemptStatus{State: state}
-	if msg.Response && state == ledger.Finished {
-		status.Response = s.responses.get(msg.Attempt)
-	}
-	return status
-}
-
 // serveAttempt handles an attempt from an ingress: it runs the attempt at an instance,
 // or guarantees that the attempt never runs.
 func (s *Server) serveAttempt(w http.ResponseWriter, r *http.Request) {
--- a/trials/streams_test.go
+++ b/trials/streams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -167,7 +168,8 @@
 			return err
 		}
 		if _, err := conn.Write(piece); err != nil {
-			if netErr, ok := err.(net.Error); ok && netErr.Timeout() {
+			var timeout net.Error
+			if errors.As(err, &timeout) && timeout.Timeout() {
 				break
 			}
 			return nil
