--- a/call/messages.go
+++ b/call/messages.go
@@ -69,7 +69,7 @@
 }
 
 // NoInstanceMsg reports that no instance is left to try.
-type NoInstanceMsg struct{ TimeLeft time.Duration }
+type NoInstanceMsg struct{}
 
 // NoBudgetMsg reports that the retry budget is exhausted.
 type NoBudgetMsg struct{}
--- a/gate/messages.go
+++ b/gate/messages.go
@@ -25,8 +25,6 @@
 	RecentFailures Reason = "failed lately"
 	// Revoked means that the ingress revoked the attempt.
 	Revoked Reason = "revoked"
-	// Duplicate means that the attempt was received before.
-	Duplicate Reason = "repeated"
 )
 
 // Msg is a message to the gate; At is the time since the process started.
--- a/logbuf/writer.go
+++ b/logbuf/writer.go
@@ -33,7 +33,6 @@
 	lines chan []byte
 	stop  chan struct{}
 	done  chan struct{}
-	start time.Time
 
 	mu           sync.Mutex
 	tokens       float64
@@ -56,7 +55,6 @@
 		lines:    make(chan []byte, _queueSize),
 		stop:     make(chan struct{}),
 		done:     make(chan struct{}),
-		start:    time.Now(),
 		tokens:   float64(cfg.Burst),
 		refilled: time.Now(),
 	}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -79,7 +79,7 @@
 	}
 	res, ok := e.tryInstance(ctx)
 	if !ok {
-		return call.NoInstanceMsg{TimeLeft: time.Until(e.deadline)}
+		return call.NoInstanceMsg{}
 	}
 	e.lastResult = res
 	if res.execution != retry.Executed {
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -91,7 +91,10 @@
 // the logs of a seed that passed.
 func runSeed(ctx context.Context, cfg soak.Config, folder string) int {
 	cfg.Folder = filepath.Join(folder, strconv.FormatUint(cfg.Seed, 10))
-	_ = os.RemoveAll(cfg.Folder) // logs of an earlier run
+	if err := os.RemoveAll(cfg.Folder); err != nil {
+		fmt.Fprintln(os.Stderr, "remove the logs of an earlier run:", err)
+		return 1
+	}
 	if err := os.MkdirAll(cfg.Folder, 0o700); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
