Replies to heartbeats of the control hosts go back with their call

Cause: a follower answered each heartbeat by a call of its own, five groups ten times a second, at an idle fleet the largest share of what control hosts send and of their processor time.

--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -21,7 +21,7 @@
 			batch.Proposals = r.propose(batch.Proposals, item)
 		case barrier:
 			msgs = append(msgs, raft.ReadMsg{ID: r.register(item.reply)})
-		case raft.Msg, encodedSnapshot:
+		case raft.Msg, encodedSnapshot, delivery:
 			msgs = append(msgs, item)
 		}
 		select {
@@ -62,6 +62,13 @@
 	switch item := item.(type) {
 	case encodedSnapshot:
 		return r.finishSnapshot(item)
+	case delivery:
+		r.handling = &item
+		defer func() {
+			r.handling = nil
+			item.replies.handled()
+		}()
+		return r.update(item.msg)
 	case raft.Msg:
 		return r.update(item)
 	}
@@ -106,14 +113,18 @@
 }
 
 func (r *Replica) send(cmd raft.SendCmd) {
-	r.cfg.Send(cmd.To, raft.Envelope{
+	envelope := raft.Envelope{
 		Group:   r.cfg.Group,
 		From:    r.cfg.Raft.ID,
 		Name:    r.cfg.Name,
 		To:      cmd.To.ID,
 		Lineage: r.model.Lineage(),
 		Body:    cmd.Body,
-	})
+	}
+	if r.handling != nil && cmd.To.ID == r.handling.msg.From && r.handling.replies.add(envelope) {
+		return
+	}
+	r.cfg.Send(cmd.To, envelope)
 }
 
 func (r *Replica) apply(entries []raft.Entry) error {
--- a/ctrl/outbox.go
+++ b/ctrl/outbox.go
@@ -22,14 +22,16 @@
 // dropped when the queue is full, which Raft tolerates.
 type outbox struct {
 	client *wire.Client
-	mu     sync.Mutex
-	queues map[string]chan raft.Envelope
-	wg     sync.WaitGroup
-	ctx    context.Context //nolint:containedctx // lives as long as the process
+	// receive handles the replies that come back with a call.
+	receive func(ctx context.Context, envelopes []raft.Envelope) error
+	mu      sync.Mutex
+	queues  map[string]chan raft.Envelope
+	wg      sync.WaitGroup
+	ctx     context.Context //nolint:containedctx // lives as long as the process
 }
 
-func newOutbox(ctx context.Context, client *wire.Client) *outbox {
-	return &outbox{client: client, queues: map[string]chan raft.Envelope{}, ctx: ctx}
+func newOutbox(ctx context.Context, client *wire.Client, receive func(context.Context, []raft.Envelope) error) *outbox {
+	return &outbox{client: client, receive: receive, queues: map[string]chan raft.Envelope{}, ctx: ctx}
 }
 
 func (o *outbox) send(addr string, envelope raft.Envelope) {
@@ -69,7 +71,10 @@
 	ctx, cancel := context.WithTimeout(o.ctx, sendTimeout(batch))
 	defer cancel()
 	// Raft resends lost messages with the next heartbeat.
-	_, _ = o.client.Call(ctx, addr, proto.Replicate{Envelopes: batch})
+	reply, err := o.client.Call(ctx, addr, proto.Replicate{Envelopes: batch, WantReplies: onlyHeartbeats(batch)})
+	if replies, ok := reply.(proto.ReplicateReply); ok && err == nil {
+		_ = o.receive(ctx, replies.Envelopes)
+	}
 }
 
 // sendTimeout extends the timeout in proportion to the size of snapshots.
--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -67,6 +67,7 @@
 
 	// Accessed only by the goroutine of Run.
 	model        raft.Model
+	handling     *delivery // the delivery that is being handled, or nil
 	leaderSince  time.Time
 	baseTime     time.Duration
 	nextID       uint64
@@ -193,6 +194,18 @@
 	}
 }
 
+// deliver queues a message whose replies go back with the call that brought it.
+func (r *Replica) deliver(ctx context.Context, d delivery) error {
+	select {
+	case r.inbox <- d:
+		return nil
+	case <-r.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return errors.Errorf("queue message for replica: %w", ctx.Err())
+	}
+}
+
 // Read calls f with the state, which f must not retain.
 func (r *Replica) Read(f func(m store.Model)) {
 	r.mu.RLock()
--- a/ctrl/rpc.go
+++ b/ctrl/rpc.go
@@ -9,6 +9,7 @@
 
 	"github.com/damaskpitch/damaskpitch/place"
 	"github.com/damaskpitch/damaskpitch/proto"
+	"github.com/damaskpitch/damaskpitch/raft"
 	"github.com/damaskpitch/damaskpitch/store"
 	"github.com/damaskpitch/damaskpitch/view"
 	"github.com/damaskpitch/damaskpitch/wire"
@@ -30,7 +31,10 @@
 func (s *Server) handle(ctx context.Context, msg any) (any, error) {
 	switch msg := msg.(type) {
 	case proto.Replicate:
-		return proto.Ack{}, s.receive(ctx, msg)
+		if msg.WantReplies {
+			return s.receiveWithReplies(ctx, msg.Envelopes)
+		}
+		return proto.Ack{}, s.receive(ctx, msg.Envelopes)
 	case proto.Hello:
 		g, held := s.groups[msg.Group]
 		hello := proto.HelloReply{ID: s.disk.ID(), Name: s.cfg.Settings.Name, Member: held && g.isMember()}
@@ -59,8 +63,26 @@
 	return nil, errors.Newf("unexpected message %T", msg)
 }
 
-func (s *Server) receive(ctx context.Context, msg proto.Replicate) error {
-	for _, envelope := range msg.Envelopes {
+// receiveWithReplies passes replication messages to their replicas and returns the
+// replies that come soon.
+func (s *Server) receiveWithReplies(ctx context.Context, envelopes []raft.Envelope) (proto.ReplicateReply, error) {
+	collected := newReplies(len(envelopes))
+	for _, envelope := range envelopes {
+		g, held := s.groups[envelope.Group]
+		if !held || envelope.To != s.disk.ID() {
+			collected.handled()
+			continue
+		}
+		if err := g.replica.deliver(ctx, delivery{msg: envelope.Message(), replies: collected}); err != nil {
+			return proto.ReplicateReply{}, err
+		}
+	}
+	return proto.ReplicateReply{Envelopes: collected.wait(ctx)}, nil
+}
+
+// receive passes replication messages to their replicas.
+func (s *Server) receive(ctx context.Context, envelopes []raft.Envelope) error {
+	for _, envelope := range envelopes {
 		g, held := s.groups[envelope.Group]
 		if !held || envelope.To != s.disk.ID() {
 			continue
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -86,7 +86,7 @@
 	// Replication continues until the replicas have transferred their leadership.
 	outboxCtx, stopOutbox := context.WithCancel(context.WithoutCancel(ctx))
 	s.stopOutbox = stopOutbox
-	s.outbox = newOutbox(outboxCtx, s.client)
+	s.outbox = newOutbox(outboxCtx, s.client, s.receive)
 	s.membership = newMembership(s)
 	if err := s.openGroups(); err != nil {
 		stopOutbox()
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -160,6 +160,13 @@
 // Replicate carries a batch of replication messages.
 type Replicate struct {
 	Envelopes []raft.Envelope `json:"envelopes"`
+	// WantReplies asks for the replies as a ReplicateReply, as far as they come soon.
+	WantReplies bool `json:"replies,omitempty"`
+}
+
+// ReplicateReply carries the replies to the messages of a Replicate.
+type ReplicateReply struct {
+	Envelopes []raft.Envelope `json:"envelopes"`
 }
 
 // Probe asks a node to check whether it can reach another one.
@@ -255,5 +262,5 @@
 		AttemptQuery{}, AttemptStatus{}, Ack{}, TakeOver{}, Handover{}, store.WrongGroup{},
 	)
 	list = append(list, store.LaterTypes()...)
-	return append(list, RelayQuery{})
+	return append(list, RelayQuery{}, ReplicateReply{})
 }
