A response does not count the slot of its own attempt as taken

Cause: an owner reported its load while the attempt that the response ends still held its slot, and ingresses use a load for a second. An idle instance with one slot looked full, and a request waited for half a second at a busy one instead: TestUploadTriesAnotherOwner failed once in a run of all trials beside five busy processes (100 kB refused with 'late' after two waits at the busy instance).

--- a/node/owner.go
+++ b/node/owner.go
@@ -124,6 +124,7 @@
 	instance string
 	timeLeft time.Duration
 	deadline time.Time // the caller's deadline
+	running  bool      // holds a slot, which is free once the response has been sent
 }
 
 func (j *job) serve() {
@@ -305,6 +306,7 @@
 // run sends the attempt to the instance. The gate has recorded it as started.
 func (j *job) run(ctx context.Context) {
 	s := j.server
+	j.running = true
 	s.stats.started.Inc(1)
 	fingerprint, _ := strconv.ParseUint(j.r.Header.Get(_headerFingerprint), 16, 64)
 	hint, _ := parseHint(j.r.Header.Get(_headerHint))
--- a/node/reply.go
+++ b/node/reply.go
@@ -121,8 +121,8 @@
 	return ""
 }
 
-// setLoadHeaders sets the headers that report the instance's load and health, and what
-// this node knows of the service's other instances.
+// setLoadHeaders sets the headers that report the instance's load and health as they are
+// after this response, and what this node knows of the service's other instances.
 func (j *job) setLoadHeaders() {
 	s := j.server
 	if reports := s.fleet.reports(s.serviceOf(j.instance), s.instanceKey(j.instance), s.now()); reports != "" {
@@ -131,6 +131,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load := s.gate.Load(j.instance, s.now())
+	if j.running {
+		load.Running = max(0, load.Running-1)
+	}
 	j.w.Header().Set(_headerLoad, strconv.Itoa(load.Running+load.Queued)+"/"+strconv.Itoa(load.Slots))
 	b := s.backends[j.instance]
 	if b == nil {
