A process that has just started holds one retry, and a budget shrinks with its share

Cause: a node's share of the fleet's budget of retries is the slack over the instances it knows. After all processes had started at once each knew few of them, and began with up to 24 of the 40 retries that the whole service may have; what it held stayed when it learned of the others.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -16,6 +16,9 @@
 	// _refillShare is the share of the slack that refills at a constant rate. The rest
 	// may be held in the nodes' budgets at the start of a window.
 	_refillShare = 0.4
+	// _initialRetries is what a new budget of a node holds. When many processes start at
+	// once, each knows few others yet, and its share of the slack looks large.
+	_initialRetries = 1.0
 )
 
 // Quota configures the token bucket that limits the retries of one node.
@@ -45,7 +48,7 @@
 		PerRequest: _visibleShare * ratio,
 		PerSecond:  max(0, min(_refillShare*each, each-burst)) / max(window.Seconds(), 1),
 		Burst:      burst,
-		Initial:    min(burst, each),
+		Initial:    min(_initialRetries, each),
 	}
 }
 
@@ -59,7 +62,7 @@
 // AddRequest returns the budget after the first attempt of a request.
 func (b Budget) AddRequest(q Quota, at time.Duration) Budget {
 	b = b.refill(q, at)
-	b.tokens = min(b.tokens+q.PerRequest, max(q.Burst, b.tokens))
+	b.tokens = min(b.tokens+q.PerRequest, q.Burst)
 	return b
 }
 
@@ -78,7 +81,7 @@
 	if !b.initialized {
 		return Budget{tokens: q.Initial, updatedAt: at, initialized: true}
 	}
-	b.tokens = min(b.tokens+q.PerSecond*(at-b.updatedAt).Seconds(), max(q.Burst, b.tokens))
+	b.tokens = min(b.tokens+q.PerSecond*(at-b.updatedAt).Seconds(), q.Burst)
 	b.updatedAt = at
 	return b
 }
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -45,6 +45,40 @@
 	}
 }
 
+// TestRestartStaysWithinBudget checks the pattern that all nodes start at once: each
+// knows one instance more every 250 ms, and all attempts fail. The retries of all nodes
+// together must stay within the fleet-wide budget.
+func TestRestartStaysWithinBudget(t *testing.T) {
+	const (
+		ratio  = 0.2
+		slack  = 58
+		window = 10 * time.Second
+		learn  = 250 * time.Millisecond
+		rate   = 4.0 // requests per second at each node
+	)
+	for _, nodes := range []int{6, 18, 27} {
+		budgets := make([]Budget, nodes)
+		sent, retried := 0, 0
+		step := time.Duration(float64(time.Second) / rate)
+		for at := time.Duration(0); at < window; at += step {
+			for i := range budgets {
+				quota := NodeQuota(ratio, slack, window, min(nodes, 1+int(at/learn)))
+				budgets[i] = budgets[i].AddRequest(quota, at)
+				sent++
+				for ok := true; ok; {
+					budgets[i], ok = budgets[i].TakeRetry(quota, at)
+					if ok {
+						retried++
+					}
+				}
+			}
+		}
+		if limit := ratio*float64(sent) + slack; float64(retried) > limit {
+			t.Errorf("%d nodes: %d retries of %d requests, limit %.0f", nodes, retried, sent, limit)
+		}
+	}
+}
+
 func countWithin(list []time.Duration, from, span time.Duration) int {
 	n := 0
 	for _, at := range list {
