A changed service is in force for its requests although its routes stay

Cause: requests on a service's own routes took its declaration from the route table, which is built anew only when routes change: a new timeout, target or limit of an ingress was confirmed and told as in force, and never was. TestChangedTimeoutInForce failed before. Plans were not affected.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -67,7 +67,12 @@
 		return match, nil, false
 	}
 	s := f.services[match.Service.Name]
-	return match, s, s != nil
+	if s == nil {
+		return match, nil, false
+	}
+	// The table is built anew only when routes change.
+	match.Service = s.declared()
+	return match, s, true
 }
 
 // instanceCount returns the number of instances of a service, or 1 if the service is
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net/http"
 	"runtime"
 	"testing"
+	"time"
 
 	"github.com/damaskpitch/damaskpitch/spec"
 	"github.com/damaskpitch/damaskpitch/view"
@@ -80,3 +82,19 @@
 		f.update(v, []string{"s7"}, false)
 	}
 }
+
+// TestChangedTimeoutInForce checks that a change of a service that leaves its routes as
+// they are is in force for its requests.
+func TestChangedTimeoutInForce(t *testing.T) {
+	f := newFleet("mida")
+	v := view.New()
+	for rev, timeout := range []time.Duration{2 * time.Second, time.Minute} {
+		s := spec.Service{Name: "photos", Timeout: spec.Duration(timeout), Routes: []spec.Route{{Path: "/photos"}}}.WithDefaults()
+		names := v.Apply(view.Event{Rev: uint64(rev + 1), Change: view.ServicePut{Service: s}})
+		f.update(v, names, false)
+		match, _, ok := f.find("h", http.MethodPost, "/photos/1", 0)
+		if !ok || match.Timeout() != timeout {
+			t.Errorf("found %t, timeout %v, want %v", ok, match.Timeout(), timeout)
+		}
+	}
+}
