--- a/node/reply_test.go
+++ b/node/reply_test.go
@@ -18,10 +18,11 @@
 	for n := range 2 {
 		s.updateGate(gate.AdmitMsg{ID: "i-1", Ref: ledger.Ref{Node: "n2", Seq: uint64(n + 1)}, At: s.now(), StartBy: s.now() + time.Second})
 	}
-	for _, c := range []struct {
+	cases := []struct {
 		running bool
 		want    string
-	}{{true, "1/2"}, {false, "2/2"}} {
+	}{{true, "1/2"}, {false, "2/2"}}
+	for _, c := range cases {
 		w := httptest.NewRecorder()
 		j := &job{server: s, w: w, instance: "i-1", running: c.running}
 		j.setLoadHeaders()
--- a/trials/upload_test.go
+++ b/trials/upload_test.go
@@ -85,7 +85,8 @@
 	return append([]int64(nil), s.complete...), s.aborted
 }
 
-// uploadFleet starts two nodes with a sink each, of a service with one slot an instance.
+// uploadFleet starts two nodes with a sink each, of a service with that many slots an
+// instance.
 func uploadFleet(t *testing.T, slots int) (*fleet, []*sink) {
 	f := newFleet(t, 1, 2)
 	f.startAll()
