Logs: the plan version in force at a node, where it came from, and silent control hosts

The logs of an incident could not tell a change that arrived late from one that arrived and was not used: view updated named the log index, write completed the plan version. No logic changes.

--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -17,6 +17,14 @@
 	Peer
 )
 
+// String returns the source as it stands in logs.
+func (s Source) String() string {
+	if s == Peer {
+		return "peer"
+	}
+	return "control"
+}
+
 // Msg is an input of the model.
 type Msg interface{ gossipMsg() }
 
--- a/node/stats.go
+++ b/node/stats.go
@@ -22,6 +22,7 @@
 	denied    tally.Counter
 	started   tally.Counter
 	rev       tally.Gauge
+	plan      tally.Gauge // version of the plan in force
 
 	answer  tally.Histogram // from a request's arrival until its whole response is sent
 	refusal tally.Histogram // from a request's arrival until it is refused
@@ -45,6 +46,7 @@
 		denied:    scope.Counter("denied"),
 		started:   scope.Counter("started"),
 		rev:       scope.Gauge("revision"),
+		plan:      scope.Gauge("plan"),
 
 		answer:  scope.Histogram("answer_seconds", meter.LatencyBuckets()),
 		refusal: scope.Histogram("refusal_seconds", meter.LatencyBuckets()),
--- a/node/viewsync.go
+++ b/node/viewsync.go
@@ -26,6 +26,7 @@
 	controlHosts atomic.Pointer[[]string] // addresses, readable outside the loop
 	inbox        chan gossip.Msg
 	calls        chan modelCall
+	silent       map[string]bool // control hosts whose last pull failed
 }
 
 // modelCall is a function to be called with the model inside the loop.
@@ -45,7 +46,8 @@
 			Seeds:   settings.Seeds,
 		}),
 		inbox: make(chan gossip.Msg, 16),
-		calls: make(chan modelCall),
+		calls:  make(chan modelCall),
+		silent: map[string]bool{},
 	}
 	v.publishControlHosts()
 	s.fleet.rumors = func(service string) []proto.Rumor { return v.model.Rumors(service) }
@@ -110,13 +112,14 @@
 	model, cmds := v.model.Update(msg)
 	v.model = model
 	v.publishControlHosts()
+	v.logControlHost(msg)
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
 		case gossip.PullCmd:
 			go v.pull(ctx, cmd)
 		case gossip.ViewChangedCmd:
 			v.server.fleet.update(v.model.View(), cmd.Services, cmd.All)
-			v.server.viewChanged(v.model.View(), cmd)
+			v.server.viewChanged(v.model.View(), cmd, msg)
 		case gossip.SourceRejectedCmd:
 			v.server.log.Error("rejected a view source of another cluster",
 				slog.String("addr", cmd.Addr), slog.Uint64("cluster", cmd.Cluster))
@@ -138,11 +141,36 @@
 	}
 }
 
+// logControlHost logs when a control host stops or starts replying to pulls.
+func (v *viewSync) logControlHost(msg gossip.Msg) {
+	switch msg := msg.(type) {
+	case gossip.PullFailedMsg:
+		if msg.Source == gossip.Control && !v.silent[msg.Addr] {
+			v.silent[msg.Addr] = true
+			v.server.log.Warn("control host does not reply", slog.String("addr", msg.Addr))
+		}
+	case gossip.DeltaMsg:
+		if msg.Source == gossip.Control && v.silent[msg.Addr] {
+			delete(v.silent, msg.Addr)
+			v.server.log.Info("control host replies again", slog.String("addr", msg.Addr), slog.Bool("current", msg.Delta.Current))
+		}
+	}
+}
+
 // viewChanged applies a new view to this node's own instances, and sends a
 // heartbeat early if the view does not have this node's current epoch.
-func (s *Server) viewChanged(v *view.View, cmd gossip.ViewChangedCmd) {
+func (s *Server) viewChanged(v *view.View, cmd gossip.ViewChangedCmd, cause gossip.Msg) {
 	s.stats.rev.Update(float64(cmd.Rev))
-	s.log.Info("view updated", slog.Uint64("rev", cmd.Rev), slog.Any("services", cmd.Services), slog.Bool("all", cmd.All))
+	s.stats.plan.Update(float64(v.Plan.Version))
+	attrs := []slog.Attr{
+		slog.Uint64("rev", cmd.Rev), slog.Uint64("plan", v.Plan.Version),
+		slog.Any("services", cmd.Services), slog.Bool("all", cmd.All),
+	}
+	if delta, ok := cause.(gossip.DeltaMsg); ok {
+		attrs = append(attrs, slog.String("source", delta.Source.String()),
+			slog.String("addr", delta.Addr), slog.Bool("current", delta.Delta.Current))
+	}
+	s.log.LogAttrs(context.Background(), slog.LevelInfo, "view updated", attrs...)
 	s.updateAllLimits()
 	s.endEjections(v)
 	if member, ok := v.Member(s.cfg.Settings.Name); !ok || member.Epoch != s.epoch.Load() {
