--- a/node/viewsync.go
+++ b/node/viewsync.go
@@ -45,7 +45,7 @@
 			Control: settings.ControlAddrs(),
 			Seeds:   settings.Seeds,
 		}),
-		inbox: make(chan gossip.Msg, 16),
+		inbox:  make(chan gossip.Msg, 16),
 		calls:  make(chan modelCall),
 		silent: map[string]bool{},
 	}
