A failing test: with two control hosts silent, changes reach nodes late

TestChangeInForceWithoutControlHosts plays 24 nodes and five control hosts in virtual time, with each pair of hosts silent, isolated or refusing. All pairs of silent hosts fail: up to three nodes lack a change 2 s after it was confirmed.

--- /dev/null
+++ b/gossip/delay_test.go
@@ -0,0 +1,199 @@
+package gossip
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/damaskpitch/damaskpitch/proto"
+	"github.com/damaskpitch/damaskpitch/store"
+	"github.com/damaskpitch/damaskpitch/view"
+)
+
+const (
+	_pullMargin    = 400 * time.Millisecond // a pull fails that long after its wait
+	_commitDelay   = 100 * time.Millisecond // until every follower knows of a commit
+	_changeInForce = 2 * time.Second        // within which a change is in force at every node
+)
+
+// hostState is what happens to the pulls that a control host gets.
+type hostState int
+
+const (
+	_healthy  hostState = iota
+	_silent             // no pull is answered
+	_isolated           // it answers from an old state, and that it is not in touch
+	_refusing           // pulls fail at once
+)
+
+// delayFleet is a set of nodes and five control hosts in virtual time.
+type delayFleet struct {
+	now     time.Duration
+	hosts   []hostState
+	current store.Model
+	old     store.Model // the state of isolated hosts
+	known   uint64      // the revision that healthy hosts reply with
+	models  []Model
+	pending [][]pendingPull // by node
+}
+
+// pendingPull is a pull that has not been answered.
+type pendingPull struct {
+	cmd PullCmd
+	at  time.Duration
+}
+
+func newDelayFleet(nodes int) *delayFleet {
+	f := &delayFleet{hosts: make([]hostState, _hosts), current: store.New(store.Config{}), pending: make([][]pendingPull, nodes)}
+	f.submit(store.Bootstrap{Cluster: 1})
+	var control []string
+	for n := range _hosts {
+		control = append(control, fmt.Sprint("c", n))
+	}
+	for n := range nodes {
+		name := fmt.Sprint("n", n)
+		f.models = append(f.models, New(Config{Node: name, Addr: addr(n), Control: control}))
+		f.submit(store.RegisterMember{Member: view.Member{Node: name, Epoch: 1, Center: "d", Addr: addr(n), Reachability: view.Reachable}})
+	}
+	f.old = f.current
+	return f
+}
+
+func (f *delayFleet) submit(c store.Command) uint64 {
+	f.current, _ = f.current.Apply(store.Entry{Index: f.current.Index() + 1, Command: c})
+	return f.current.View().Rev
+}
+
+// setHosts changes the state of control hosts; isolated ones keep today's state.
+func (f *delayFleet) setHosts(t *testing.T, state hostState, hosts ...int) {
+	data, err := f.current.Save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.old, err = store.Load(store.Config{}, data); err != nil {
+		t.Fatal(err)
+	}
+	clear(f.hosts)
+	for _, n := range hosts {
+		f.hosts[n] = state
+	}
+}
+
+// run advances the time. Healthy hosts know the latest change from changeAt on.
+func (f *delayFleet) run(until, changeAt time.Duration) {
+	for ; f.now < until; f.now += 10 * time.Millisecond {
+		if f.now >= changeAt {
+			f.known = f.current.View().Rev
+		}
+		for n := range f.models {
+			f.answer(n)
+			f.update(n, TickMsg{At: f.now})
+		}
+	}
+}
+
+func (f *delayFleet) update(n int, msg Msg) {
+	var cmds []Cmd
+	f.models[n], cmds = f.models[n].Update(msg)
+	for _, cmd := range cmds {
+		if pull, ok := cmd.(PullCmd); ok {
+			f.pending[n] = append(f.pending[n], pendingPull{cmd: pull, at: f.now})
+		}
+	}
+}
+
+// answer delivers the replies to a node's pulls that are due.
+func (f *delayFleet) answer(n int) {
+	pulls := f.pending[n]
+	f.pending[n] = nil
+	for _, p := range pulls {
+		if msg := f.reply(p); msg != nil {
+			f.update(n, msg)
+			continue
+		}
+		f.pending[n] = append(f.pending[n], p)
+	}
+}
+
+// reply returns the reply to a pull, or nil while there is none.
+func (f *delayFleet) reply(p pendingPull) Msg {
+	pull := p.cmd
+	if pull.Source == Peer {
+		return DeltaMsg{At: f.now, Source: Peer, Addr: pull.Addr, Delta: f.models[nodeAt(pull.Addr)].HandlePull(pull.Pull)}
+	}
+	state := f.hosts[int(pull.Addr[1]-'0')]
+	failed := PullFailedMsg{At: f.now, Source: Control, Addr: pull.Addr}
+	waited := f.now >= p.at+pull.Pull.Wait
+	switch {
+	case state == _refusing:
+		return failed
+	case state == _silent && f.now >= p.at+pull.Pull.Wait+_pullMargin:
+		return failed
+	case state == _silent:
+		return nil
+	case state == _isolated && !waited:
+		return nil
+	case state == _isolated:
+		return DeltaMsg{At: f.now, Source: Control, Addr: pull.Addr, Delta: deltaSince(f.old, pull.Pull.Rev)}
+	case f.known <= pull.Pull.Rev && !waited:
+		return nil
+	}
+	d := proto.Delta{Cluster: 1, From: pull.Pull.Rev, Rev: pull.Pull.Rev, Current: true}
+	if f.known > pull.Pull.Rev {
+		d = deltaSince(f.current, pull.Pull.Rev)
+		d.Current = true
+	}
+	return DeltaMsg{At: f.now, Source: Control, Addr: pull.Addr, Delta: d}
+}
+
+// behind returns the nodes that lack a revision.
+func (f *delayFleet) behind(rev uint64) []string {
+	var list []string
+	for _, m := range f.models {
+		if m.View().Rev < rev {
+			list = append(list, m.cfg.Node)
+		}
+	}
+	return list
+}
+
+// TestChangeInForceWithoutControlHosts guards against a confirmed change that reaches
+// nodes late because they ask several unreachable control hosts one after another.
+func TestChangeInForceWithoutControlHosts(t *testing.T) {
+	tests := []struct {
+		name  string
+		state hostState
+	}{
+		{"silent", _silent},
+		{"isolated", _isolated},
+		{"refusing", _refusing},
+	}
+	for _, test := range tests {
+		for first := range _hosts {
+			for second := range first {
+				t.Run(fmt.Sprintf("%s %d and %d", test.name, second, first), func(t *testing.T) {
+					f := newDelayFleet(24)
+					f.run(3*time.Second, 0)
+					f.setHosts(t, test.state, first, second)
+					checkChanges(t, f)
+				})
+			}
+		}
+	}
+}
+
+// checkChanges makes changes at many points of the nodes' rounds, and checks that each
+// is in force everywhere in time.
+func checkChanges(t *testing.T, f *delayFleet) {
+	t.Helper()
+	const gap = 2330 * time.Millisecond
+	for n := range 40 {
+		confirmed := f.now
+		rev := f.submit(store.PutService{Match: store.AnyRev, Service: service(n)})
+		f.run(confirmed+_changeInForce, confirmed+_commitDelay)
+		if late := f.behind(rev); len(late) > 0 {
+			t.Errorf("change %d, %v after its confirmation: not in force at %d nodes (%v)", n, _changeInForce, len(late), late)
+		}
+		f.run(confirmed+gap, confirmed+_commitDelay)
+	}
+}
