A node searches the other control hosts when a poll is overdue

What callers saw: requests were routed by an older plan, or refused with 404 for a route that had been added, more than 2 s after the change was confirmed.

Cause: a node asked one control host at a time, waited up to 1.4 s for each, and came back to hosts that had just failed it. Two unreachable hosts that follow each other in the list cost 3.2 s. Peers did not help: they are asked every 5 s in calm times, and changes had brought the nodes into step, so that they were late together. Class: serial timeouts on a path with a deadline.

Change: only a host whose last reply was current is polled. 0.2 s after a reply is due the other hosts are asked one every 0.15 s, on new connections, without waiting for each other; hosts that failed are asked again beside the poll.

Evidence: TestChangeInForceWithoutControlHosts failed in all ten pairs of silent hosts (up to three of 24 nodes late) and passes. TestCost, whose hosts never say that they are current: 2,514 to 2,818 bytes/s per node of a budget of 5,000.

--- a/gossip/delay_test.go
+++ b/gossip/delay_test.go
@@ -16,20 +16,20 @@
 	_changeInForce = 2 * time.Second        // within which a change is in force at every node
 )
 
-// hostState is what happens to the pulls that a control host gets.
-type hostState int
+// hostMode is what happens to the pulls that a control host gets.
+type hostMode int
 
 const (
-	_healthy  hostState = iota
-	_silent             // no pull is answered
-	_isolated           // it answers from an old state, and that it is not in touch
-	_refusing           // pulls fail at once
+	_healthy  hostMode = iota
+	_silent            // no pull is answered
+	_isolated          // it answers from an old state, and that it is not in touch
+	_refusing          // pulls fail at once
 )
 
 // delayFleet is a set of nodes and five control hosts in virtual time.
 type delayFleet struct {
 	now     time.Duration
-	hosts   []hostState
+	hosts   []hostMode
 	current store.Model
 	old     store.Model // the state of isolated hosts
 	known   uint64      // the revision that healthy hosts reply with
@@ -44,7 +44,7 @@
 }
 
 func newDelayFleet(nodes int) *delayFleet {
-	f := &delayFleet{hosts: make([]hostState, _hosts), current: store.New(store.Config{}), pending: make([][]pendingPull, nodes)}
+	f := &delayFleet{hosts: make([]hostMode, _hosts), current: store.New(store.Config{}), pending: make([][]pendingPull, nodes)}
 	f.submit(store.Bootstrap{Cluster: 1})
 	var control []string
 	for n := range _hosts {
@@ -65,7 +65,7 @@
 }
 
 // setHosts changes the state of control hosts; isolated ones keep today's state.
-func (f *delayFleet) setHosts(t *testing.T, state hostState, hosts ...int) {
+func (f *delayFleet) setHosts(t *testing.T, state hostMode, hosts ...int) {
 	data, err := f.current.Save()
 	if err != nil {
 		t.Fatal(err)
@@ -162,7 +162,7 @@
 func TestChangeInForceWithoutControlHosts(t *testing.T) {
 	tests := []struct {
 		name  string
-		state hostState
+		state hostMode
 	}{
 		{"silent", _silent},
 		{"isolated", _isolated},
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -12,18 +12,17 @@
 )
 
 const (
-	// A pull from an isolated control host blocks for about _defaultPollTimeout, and
-	// then a peer is pulled from every _defaultGossipInterval, so that a change reaches
-	// every node within two seconds.
+	// A pull from an isolated control host blocks for about _defaultPollTimeout; then
+	// the others are searched, so that a change reaches every node within two seconds.
+	// Meanwhile a peer is pulled from every _defaultGossipInterval.
 	_defaultPollTimeout    = time.Second
 	_defaultGossipInterval = 700 * time.Millisecond
 	// _calmGossipInterval is the time between pulls from peers while control hosts in
 	// touch with a leader reply to the polls.
 	_calmGossipInterval = 5 * time.Second
 	// _currentTTL is how long such a reply counts: a poll and its margin.
-	_currentTTL        = 1500 * time.Millisecond
-	_defaultRetryDelay = 200 * time.Millisecond
-	_history           = 2000 // events
+	_currentTTL = 1500 * time.Millisecond
+	_history    = 2000 // events
 )
 
 // Config configures a model; zero durations select the defaults.
@@ -40,9 +39,6 @@
 	PollTimeout time.Duration
 	// GossipInterval is the time between pulls from random peers.
 	GossipInterval time.Duration
-	// RetryDelay is the delay before a control host is polled again after a failure
-	// or an outdated reply.
-	RetryDelay time.Duration
 }
 
 // Model is a node's view with the state of its updates. It is not safe for
@@ -52,8 +48,12 @@
 	control      []string // the latest known control hosts
 	view         *view.View
 	history      *view.History
-	polling      bool
-	pollAt       time.Duration
+	hosts        map[string]hostState // by address of a control host
+	pollAddr     string               // the control host that is polled, or ""
+	polledAt     time.Duration
+	searchAt     time.Duration // when to ask the next host of a search
+	searches     int           // pulls of the current search
+	recheckedAt  time.Duration
 	gossiping    bool
 	controlIndex int
 	gossipRound  uint64
@@ -75,6 +75,7 @@
 		view:         view.New(),
 		history:      view.NewHistory(0, _history),
 		rumors:       map[view.Key]receivedRumor{},
+		hosts:        map[string]hostState{},
 		controlIndex: int(seed % uint64(max(1, len(cfg.Control)))),
 	}
 }
@@ -124,11 +125,7 @@
 		m.pruneAt = at + _rumorPruneInterval
 		cmds = viewChanged(m.view, m.pruneRumors(at))
 	}
-	if !m.polling && at >= m.pollAt && len(m.control) > 0 {
-		m.polling = true
-		addr := m.control[m.controlIndex%len(m.control)]
-		cmds = append(cmds, PullCmd{Source: Control, Addr: addr, Pull: m.pull(m.cfg.PollTimeout)})
-	}
+	cmds = append(cmds, m.pollControl()...)
 	if m.gossiping || at < m.gossipAt() {
 		return m, cmds
 	}
@@ -156,8 +153,17 @@
 // first.
 func (m Model) NextTick() time.Duration {
 	next := m.pruneAt
-	if !m.polling && len(m.control) > 0 {
-		next = min(next, m.pollAt)
+	switch {
+	case len(m.control) == 0:
+	case m.pollAddr != "":
+		next = min(next, m.pollOverdueAt())
+		if addr, at := m.nextRecheck(); addr != "" {
+			next = min(next, at)
+		}
+	case m.nextHost(m.isCurrent) != "":
+		return m.at
+	case m.nextHost(func(h hostState) bool { return !h.pulling }) != "":
+		next = min(next, m.searchAt)
 	}
 	if !m.gossiping {
 		next = min(next, m.gossipAt(), max(m.currentUntil, m.gossipedAt+m.cfg.GossipInterval))
@@ -209,10 +215,9 @@
 		m.gossiping = false
 		return m
 	}
-	m.polling = false
-	m.currentUntil = 0
-	m.pollAt = msg.At + m.cfg.RetryDelay
-	m.controlIndex++
+	m.at = msg.At
+	m.pullEnded(msg.Addr)
+	m.suspect(msg.Addr)
 	return m
 }
 
@@ -236,6 +241,7 @@
 	if len(d.Control) == 0 || d.Rev < m.controlRev {
 		return m
 	}
+	defer m.forgetHosts()
 	m.controlRev = max(d.Rev, 1)
 	list := slices.Clone(d.Control)
 	for _, addr := range m.cfg.Control {
@@ -265,18 +271,10 @@
 		}
 		return m, cmds
 	}
-	m.polling = false
-	m.pollAt = msg.At
-	m.currentUntil = 0
-	if msg.Delta.Current {
-		m.currentUntil = msg.At + _currentTTL
-	}
-	if !advanced {
-		m.controlIndex++
-	}
-	if msg.Delta.Rev < m.view.Rev {
-		m.pollAt = msg.At + m.cfg.RetryDelay
-	}
+	m.at = msg.At
+	polled := m.pollAddr == msg.Addr
+	m.pullEnded(msg.Addr)
+	m.replied(msg.Addr, msg.Delta.Current && msg.Delta.Rev >= m.view.Rev, polled, advanced)
 	return m, cmds
 }
 
@@ -315,9 +313,6 @@
 	if c.GossipInterval == 0 {
 		c.GossipInterval = _defaultGossipInterval
 	}
-	if c.RetryDelay == 0 {
-		c.RetryDelay = _defaultRetryDelay
-	}
 	return c
 }
 
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -67,6 +67,8 @@
 	Source Source
 	Addr   string
 	Pull   proto.Pull
+	// NewConn asks for a new connection, since open ones may have gone silent.
+	NewConn bool
 }
 
 // ViewChangedCmd reports that the view or the rumors changed, and for which services.
--- a/node/viewsync.go
+++ b/node/viewsync.go
@@ -130,7 +130,11 @@
 func (v *viewSync) pull(ctx context.Context, cmd gossip.PullCmd) {
 	callCtx, cancel := context.WithTimeout(ctx, cmd.Pull.Wait+_pullMargin)
 	defer cancel()
-	reply, err := v.server.client.Call(callCtx, cmd.Addr, cmd.Pull)
+	call := v.server.client.Call
+	if cmd.NewConn {
+		call = v.server.client.CallNewConn
+	}
+	reply, err := call(callCtx, cmd.Addr, cmd.Pull)
 	var msg gossip.Msg = gossip.PullFailedMsg{At: v.server.now(), Source: cmd.Source, Addr: cmd.Addr}
 	if delta, ok := reply.(proto.Delta); ok && err == nil {
 		msg = gossip.DeltaMsg{At: v.server.now(), Source: cmd.Source, Addr: cmd.Addr, Delta: delta}
