A control host says that it is current only while it has its leader's commits

What callers saw: nothing yet that is traced to this; found beside CONFIG while looking for the same cause elsewhere. Nodes that pull from a host that says so wait for its changes and ask their peers rarely.

Class: a statement about freshness without the time and the position that it holds for.

Evidence: TestCurrent, three of six cases of which fail with the old rule.

--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -58,7 +58,7 @@
 	inbox chan any
 	done  chan struct{}
 
-	inTouch atomic.Bool // as of the last message or tick
+	currentUntil atomic.Int64 // time.Duration since Start, as of the last message or tick
 
 	mu      sync.RWMutex
 	state   store.Model
@@ -156,14 +156,16 @@
 				return errors.Errorf("group %d: %w", r.cfg.Group, err)
 			}
 		}
-		r.inTouch.Store(r.model.InTouch())
+		r.currentUntil.Store(int64(r.model.CurrentUntil()))
 		timer.Reset(max(_minTickDelay, r.model.NextTick()-time.Since(r.cfg.Start)))
 	}
 }
 
-// InTouch reports whether the replica leads or follows a leader that it hears from.
+// InTouch reports whether the replica leads or follows a leader that it hears from, and
+// has applied all that this leader has committed. A loop that waits for its disk hears
+// nothing, so the answer depends on the time.
 func (r *Replica) InTouch() bool {
-	return r.inTouch.Load()
+	return time.Since(r.cfg.Start) < time.Duration(r.currentUntil.Load())
 }
 
 // Submit proposes a command and waits for its result. It returns ErrNotLeader if
--- a/raft/elect.go
+++ b/raft/elect.go
@@ -1,5 +1,11 @@
 package raft
 
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
 // campaign starts an election, or a pre-vote that checks whether an election
 // could be won.
 func (m *Model) campaign(preVote, force bool) []Cmd {
@@ -66,10 +72,44 @@
 	return append(cmds, m.send(from, reply)...)
 }
 
-// InTouch reports whether the replica leads, or has heard from a leader within the
-// election timeout. A leader without a quorum steps down after that time.
+// InTouch reports whether the replica had applied all commits that it could know of when
+// it last acted.
 func (m Model) InTouch() bool {
-	return m.hasActiveLeader()
+	return m.now < m.CurrentUntil()
+}
+
+// CurrentUntil returns until when the replica may say that its state is current, or 0.
+// A leader is current while a quorum replies and once it has committed an entry of its
+// term, since it may lack earlier commits before. A follower is current while it hears
+// from a leader, unless it lacks entries that the leader has committed.
+func (m Model) CurrentUntil() time.Duration {
+	switch {
+	case m.role == Leader && m.commit >= m.termStart:
+		return m.quorumContact() + m.cfg.ElectionTimeout
+	case m.role != Leader && m.leader != 0 && m.commit >= m.leaderCommit:
+		return m.leaderContact + m.cfg.ElectionTimeout
+	}
+	return 0
+}
+
+// quorumContact returns the latest time by which a quorum, the leader included, has
+// replied.
+func (m Model) quorumContact() time.Duration {
+	var replies []time.Duration
+	for _, p := range m.peers {
+		switch f := m.followers[p.ID]; {
+		case p.Learner:
+		case p.ID == m.cfg.ID:
+			replies = append(replies, m.now)
+		case f != nil:
+			replies = append(replies, f.lastReply)
+		}
+	}
+	slices.SortFunc(replies, func(a, b time.Duration) int { return cmp.Compare(b, a) })
+	if len(replies) == 0 {
+		return 0
+	}
+	return replies[len(replies)/2]
 }
 
 func (m *Model) hasActiveLeader() bool {
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -62,6 +62,7 @@
 
 	deadline      time.Duration // of the election timeout
 	leaderContact time.Duration // time of the last message from a leader
+	leaderCommit  uint64        // highest commit that a leader has told
 	preVote       bool
 	votes         map[uint64]bool
 	nextHeartbeat time.Duration // due time
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -96,7 +96,7 @@
 		return nil
 	}
 	if waiting {
-		return []Cmd{SendCmd{To: p, Body: Append{Term: m.term, Round: m.round}}}
+		return []Cmd{SendCmd{To: p, Body: Append{Term: m.term, Commit: m.commit, Round: m.round}}}
 	}
 	f.snapshotSent = max(m.now, 1)
 	f.snapshotRound = m.round
@@ -109,6 +109,7 @@
 		return m.send(from, AppendReply{Term: m.term})
 	}
 	cmds := m.acceptLeader(from, a.Term)
+	m.leaderCommit = max(m.leaderCommit, a.Commit)
 	reply := AppendReply{Term: m.term, Round: a.Round}
 	if term, held := m.log.term(a.PrevIndex); a.PrevIndex > m.commit && (!held || term != a.PrevTerm) {
 		reply.Match = min(m.log.last(), a.PrevIndex-1)
