A node polls only a control host that has just said that it is current

Cause: nodes went round all control hosts, and a host was taken for current by what it had said a round earlier, before it failed.

Change: the polled host stays the same. Another one is asked every 5 s by a pull without a wait, and is polled after that if it is current; a search does the same. So at most one host can hold a change up, whatever failed before.

TestCost's control hosts now say whether they are current, as real ones do; its bounds stay.

--- a/gossip/cost_test.go
+++ b/gossip/cost_test.go
@@ -128,7 +128,7 @@
 		return
 	}
 	s.waiting[n] = PullCmd{}
-	d := proto.Delta{Cluster: 1, From: pull.Pull.Rev, Rev: host.View().Rev}
+	d := proto.Delta{Cluster: 1, From: pull.Pull.Rev, Rev: host.View().Rev, Current: pull.Addr != s.isolated}
 	events, ok := host.Since(pull.Pull.Rev)
 	d.Events = events
 	if !ok && pull.Pull.Rev < host.View().Rev {
--- a/gossip/delay_test.go
+++ b/gossip/delay_test.go
@@ -175,19 +175,35 @@
 					f := newDelayFleet(24)
 					f.run(3*time.Second, 0)
 					f.setHosts(t, test.state, first, second)
-					checkChanges(t, f)
+					checkChanges(t, f, 40)
 				})
 			}
 		}
 	}
 }
 
+// TestChangeInForceAsControlHostsFail guards against nodes that trust what a control host
+// said before it failed: other hosts fail shortly before each change.
+func TestChangeInForceAsControlHostsFail(t *testing.T) {
+	for _, state := range []hostMode{_silent, _isolated, _refusing} {
+		t.Run(fmt.Sprint("mode ", state), func(t *testing.T) {
+			f := newDelayFleet(24)
+			f.run(3*time.Second, 0)
+			for n := range 60 {
+				f.setHosts(t, state, n%_hosts, (n+1+n/_hosts%2)%_hosts)
+				f.run(f.now+time.Duration(n%4)*100*time.Millisecond, 0)
+				checkChanges(t, f, 1)
+			}
+		})
+	}
+}
+
 // checkChanges makes changes at many points of the nodes' rounds, and checks that each
 // is in force everywhere in time.
-func checkChanges(t *testing.T, f *delayFleet) {
+func checkChanges(t *testing.T, f *delayFleet, changes int) {
 	t.Helper()
 	const gap = 2330 * time.Millisecond
-	for n := range 40 {
+	for n := range changes {
 		confirmed := f.now
 		rev := f.submit(store.PutService{Match: store.AnyRev, Service: service(n)})
 		f.run(confirmed+_changeInForce, confirmed+_commitDelay)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -53,7 +53,8 @@
 	polledAt     time.Duration
 	searchAt     time.Duration // when to ask the next host of a search
 	searches     int           // pulls of the current search
-	recheckedAt  time.Duration
+	currentHost  string        // the control host to poll, or "" while none is current
+	rotateAt     time.Duration // when to ask another control host
 	gossiping    bool
 	controlIndex int
 	gossipRound  uint64
@@ -155,15 +156,13 @@
 	next := m.pruneAt
 	switch {
 	case len(m.control) == 0:
-	case m.pollAddr != "":
-		next = min(next, m.pollOverdueAt())
-		if addr, at := m.nextRecheck(); addr != "" {
-			next = min(next, at)
-		}
-	case m.nextHost(m.isCurrent) != "":
-		return m.at
-	case m.nextHost(func(h hostState) bool { return !h.pulling }) != "":
+	case m.currentHost == "" && m.anyIdle():
 		next = min(next, m.searchAt)
+	case m.currentHost != "":
+		next = min(next, m.rotateAt)
+	}
+	if m.pollAddr != "" {
+		next = min(next, m.pollOverdueAt())
 	}
 	if !m.gossiping {
 		next = min(next, m.gossipAt(), max(m.currentUntil, m.gossipedAt+m.cfg.GossipInterval))
@@ -265,16 +264,16 @@
 	advanced := m.view.Rev > before
 	if msg.Source == Peer {
 		m.gossiping = false
-		if advanced {
-			// The polled control host has not sent this change; try another one.
-			m.controlIndex++
+		if advanced && m.at < m.currentUntil {
+			// The polled control host has not sent this change; ask another one.
+			m.rotateAt = 0
 		}
 		return m, cmds
 	}
 	m.at = msg.At
 	polled := m.pollAddr == msg.Addr
 	m.pullEnded(msg.Addr)
-	m.replied(msg.Addr, msg.Delta.Current && msg.Delta.Rev >= m.view.Rev, polled, advanced)
+	m.replied(msg.Addr, msg.Delta.Current && msg.Delta.Rev >= m.view.Rev, polled)
 	return m, cmds
 }
 
--- a/gossip/hosts.go
+++ b/gossip/hosts.go
@@ -16,24 +16,23 @@
 	// _slowSearchInterval is the time between pulls once every control host was asked
 	// in vain.
 	_slowSearchInterval = 500 * time.Millisecond
-	// _recheckInterval is the time between pulls from hosts that are not known to be
-	// current, while another one is.
-	_recheckInterval = time.Second
-	// _suspectTime is how long a control host that failed is not asked again while
-	// another one is current.
+	// _rotateInterval is the time between pulls from other hosts than the polled one,
+	// so that no single host is relied on.
+	_rotateInterval = 5 * time.Second
+	// _suspectTime is how long a control host that failed is asked last.
 	_suspectTime = 5 * time.Second
 )
 
 // hostState is what a node knows of a control host.
 type hostState struct {
 	pulling      bool          // a pull is pending
-	current      bool          // the last reply said that the host was in touch with a leader
 	suspectUntil time.Duration // after a failure or a reply that was not current
 }
 
-// pollControl polls one current control host at a time. While there is none, or the
-// reply to a poll is overdue, it searches: it asks the other hosts one after another,
-// without waiting for their replies.
+// pollControl polls the control host that has lately said that it is current. While there
+// is none, or the reply to a poll is overdue, it searches: it asks the other hosts one
+// after another, without waiting for their replies. A host is polled only after such a
+// reply, so that a change is never held up by more than one host.
 func (m *Model) pollControl() []Cmd {
 	if len(m.control) == 0 {
 		return nil
@@ -43,14 +42,14 @@
 		m.pollAddr = ""
 		m.suspect(overdue)
 	}
-	if m.pollAddr == "" {
-		if addr := m.nextHost(m.isCurrent); addr != "" {
-			m.pollAddr, m.polledAt = addr, m.at
-			return m.pullFrom(addr, m.cfg.PollTimeout)
-		}
+	switch {
+	case m.currentHost == "":
 		return m.search()
+	case m.pollAddr == "" && !m.hosts[m.currentHost].pulling:
+		m.pollAddr, m.polledAt = m.currentHost, m.at
+		return m.pullFrom(m.currentHost, m.cfg.PollTimeout, false)
 	}
-	return m.recheck()
+	return m.rotate()
 }
 
 // pollOverdueAt returns when the reply to the current poll is overdue.
@@ -58,14 +57,15 @@
 	return m.polledAt + m.cfg.PollTimeout + _overdueMargin
 }
 
-// search asks the next control host that has no pending pull, suspected ones last.
+// search asks the next control host that has no pending pull, suspected ones last. Its
+// connections are new, since open ones may have gone silent.
 func (m *Model) search() []Cmd {
 	if m.at < m.searchAt {
 		return nil
 	}
-	addr := m.nextHost(func(h hostState) bool { return !h.pulling && m.at >= h.suspectUntil })
+	addr := m.nextHost(m.isUnsuspected)
 	if addr == "" {
-		addr = m.nextHost(func(h hostState) bool { return !h.pulling })
+		addr = m.nextHost(isIdle)
 	}
 	if addr == "" {
 		return nil
@@ -75,62 +75,63 @@
 	if m.searches > len(m.control) {
 		m.searchAt = m.at + _slowSearchInterval
 	}
-	m.controlIndex++
-	return m.pullFrom(addr, 0)
+	return m.pullFrom(addr, 0, true)
 }
 
-// recheck asks a control host that is new or failed earlier, while another one is polled.
-func (m *Model) recheck() []Cmd {
-	addr, at := m.nextRecheck()
-	if addr == "" || m.at < at {
+// rotate asks another control host from time to time. If that one is current, it is
+// polled from then on.
+func (m *Model) rotate() []Cmd {
+	if m.at < m.rotateAt {
 		return nil
 	}
-	m.recheckedAt = m.at
-	return m.pullFrom(addr, 0)
-}
-
-// nextRecheck returns the host to recheck next and when to do so, or "".
-func (m *Model) nextRecheck() (string, time.Duration) {
-	next, at := "", time.Duration(0)
-	for _, addr := range m.control {
-		h := m.hosts[addr]
-		if !h.current && !h.pulling && (next == "" || h.suspectUntil < at) {
-			next, at = addr, h.suspectUntil
-		}
+	m.rotateAt = m.at + _rotateInterval
+	addr := m.nextHost(m.isUnsuspected)
+	if addr == "" || addr == m.currentHost {
+		return nil
 	}
-	return next, max(at, m.recheckedAt+_recheckInterval)
+	return m.pullFrom(addr, 0, false)
 }
 
-func (m *Model) pullFrom(addr string, wait time.Duration) []Cmd {
+func (m *Model) pullFrom(addr string, wait time.Duration, newConn bool) []Cmd {
 	h := m.hosts[addr]
 	h.pulling = true
 	m.hosts[addr] = h
-	return []Cmd{PullCmd{Source: Control, Addr: addr, Pull: m.pull(wait), NewConn: wait == 0}}
+	return []Cmd{PullCmd{Source: Control, Addr: addr, Pull: m.pull(wait), NewConn: newConn}}
 }
 
-// nextHost returns the first control host from the current index on that satisfies the
-// condition, or "".
+// nextHost returns the first control host after the current index that satisfies the
+// condition, and makes it the current index; it returns "" if there is none.
 func (m *Model) nextHost(holds func(h hostState) bool) string {
 	for i := range m.control {
-		addr := m.control[(m.controlIndex+i)%len(m.control)]
-		if holds(m.hosts[addr]) {
-			return addr
+		at := (m.controlIndex + i) % len(m.control)
+		if holds(m.hosts[m.control[at]]) {
+			m.controlIndex = at + 1
+			return m.control[at]
 		}
 	}
 	return ""
 }
 
-func (m *Model) isCurrent(h hostState) bool {
-	return h.current && !h.pulling
+// anyIdle reports whether a control host has no pending pull.
+func (m Model) anyIdle() bool {
+	return slices.ContainsFunc(m.control, func(addr string) bool { return isIdle(m.hosts[addr]) })
+}
+
+func isIdle(h hostState) bool {
+	return !h.pulling
+}
+
+func (m *Model) isUnsuspected(h hostState) bool {
+	return !h.pulling && m.at >= h.suspectUntil
 }
 
 // suspect records that a control host failed or is not current.
 func (m *Model) suspect(addr string) {
 	h := m.hosts[addr]
-	h.current = false
 	h.suspectUntil = m.at + _suspectTime
 	m.hosts[addr] = h
-	if m.pollAddr == "" {
+	if m.currentHost == addr {
+		m.currentHost = ""
 		m.currentUntil = 0
 	}
 }
@@ -145,26 +146,22 @@
 	}
 }
 
-// replied records whether a control host is current. A current one is polled next,
-// or the host after it if it had nothing new, so that no single host is relied on.
-func (m *Model) replied(addr string, current, polled, advanced bool) {
+// replied records whether a control host is current.
+func (m *Model) replied(addr string, current, polled bool) {
 	if !current {
 		m.suspect(addr)
 		return
 	}
+	m.currentUntil = m.at + _currentTTL
 	h := m.hosts[addr]
-	h.current = true
+	h.suspectUntil = 0
 	m.hosts[addr] = h
+	if polled && m.currentHost != "" {
+		return // it is still to be polled, or another host has taken its place
+	}
+	m.currentHost = addr
 	m.searches = 0
 	m.searchAt = 0
-	m.currentUntil = m.at + _currentTTL
-	if m.pollAddr != "" {
-		return // a host that failed earlier has recovered
-	}
-	m.controlIndex = max(0, slices.Index(m.control, addr))
-	if polled && !advanced {
-		m.controlIndex++
-	}
 }
 
 // forgetHosts drops the state of hosts that are no longer control hosts.
