Logs: what a backend server says about its limit and its leaving

Nobody read the two headers, so no log told whether an instance had named a limit, which one, and when. No logic changes: the notice is logged only.

--- a/node/backend.go
+++ b/node/backend.go
@@ -40,6 +40,7 @@
 	retryBudget    retry.Budget  // for requests that may have run before
 	inFlight       map[ledger.Ref]*work
 	bodyTimePerMiB time.Duration // smoothed time of a response body per MiB; 0 if unknown
+	notice         notice        // of its last response
 	// pooled reuses connections, for requests that may be repeated. unpooled opens a
 	// connection for each request.
 	pooled, unpooled *http.Transport
--- a/node/headers.go
+++ b/node/headers.go
@@ -22,6 +22,13 @@
 	// ResponseStamp is present in every response of a backend server; a successful
 	// response without it is invalid. If empty, there is no such header.
 	ResponseStamp string
+	// MaxRate names, in a response of a backend server, how many requests a second it
+	// takes from all nodes together, as a decimal number, for as long as it says so. If
+	// empty, there is no such header.
+	MaxRate string
+	// Leaving marks the responses of a backend server that leaves. If empty, there is no
+	// such header.
+	Leaving string
 	// EchoesRequestID tells whether backend servers return RequestID in every
 	// response.
 	EchoesRequestID bool
@@ -34,6 +41,8 @@
 			RequestID: HeaderRequestID,
 			Timeout:   HeaderTimeout,
 			TimeLeft:  "Request-Timeout",
+			MaxRate:   "Instance-Max-Rate",
+			Leaving:   "Instance-Leaving",
 		}
 	}
 	return h
--- /dev/null
+++ b/node/notice.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"log/slog"
+	"math"
+	"net/http"
+	"strconv"
+)
+
+// notice is what a backend server says about itself in a response.
+type notice struct {
+	maxRate float64 // requests per second, or 0 for no limit
+	leaving bool
+}
+
+// parseNotice reads the notice in the header of a response. It returns false if the rate
+// is not a number of 0 or more.
+func (h Headers) parseNotice(header http.Header) (notice, bool) {
+	var n notice
+	if h.Leaving != "" {
+		n.leaving = header.Get(h.Leaving) == "1"
+	}
+	text := ""
+	if h.MaxRate != "" {
+		text = header.Get(h.MaxRate)
+	}
+	if text == "" {
+		return n, true
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return n, false
+	}
+	n.maxRate = max(rate, _minRate)
+	return n, true
+}
+
+// _minRate is the lowest rate at which an instance gets requests, in requests per second.
+// Without any response, nobody would learn that its limit has ended.
+const _minRate = 0.25
+
+// observeNotice records what an instance says about itself in a response of its own.
+func (s *Server) observeNotice(id string, header http.Header) {
+	n, ok := s.headers.parseNotice(header)
+	if !ok {
+		s.log.Warn("ignored the limit of an instance", slog.String("instance", id), slog.String("value", header.Get(s.headers.MaxRate)))
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.backends[id]
+	if b == nil || b.notice == n {
+		return
+	}
+	s.log.Info("instance notice", slog.String("instance", id), slog.Float64("max_rate", n.maxRate),
+		slog.Float64("max_rate_before", b.notice.maxRate), slog.Bool("leaving", n.leaving))
+	b.notice = n
+}
--- a/node/owner.go
+++ b/node/owner.go
@@ -333,6 +333,9 @@
 		return
 	}
 	defer response.Body.Close()
+	if s.answersRequest(response, j.r) && response.StatusCode != http.StatusMisdirectedRequest {
+		s.observeNotice(j.instance, response.Header)
+	}
 	if reason := s.notRunReason(response); reason != "" {
 		s.finishWork(j.instance, j.ref, workCanceled)
 		j.setLoadHeaders()
--- a/node/reply.go
+++ b/node/reply.go
@@ -101,11 +101,17 @@
 	return ""
 }
 
+// answersRequest reports whether the ID in a response, if there must be one, is that of
+// the request.
+func (s *Server) answersRequest(response *http.Response, r *http.Request) bool {
+	id := response.Header.Get(s.headers.RequestID)
+	return id == r.Header.Get(s.headers.RequestID) || id == "" && !s.headers.EchoesRequestID
+}
+
 // responseFault returns why a response may be incomplete or belong to another
 // request, or an empty string.
 func (s *Server) responseFault(response *http.Response, r *http.Request) string {
-	id := response.Header.Get(s.headers.RequestID)
-	if id != r.Header.Get(s.headers.RequestID) && (id != "" || s.headers.EchoesRequestID) {
+	if !s.answersRequest(response, r) {
 		return "answer to another request"
 	}
 	success := response.StatusCode < http.StatusMultipleChoices
