--- a/trials/platform_test.go
+++ b/trials/platform_test.go
@@ -111,10 +111,9 @@
 	return p
 }
 
-// TestPlatform tests the interface to the users' platform from end to end: a
-// plan, instances that report their state, requests with the platform's headers,
-// faulty instances, and an instance that leaves.
-func TestPlatform(t *testing.T) {
+// startPlatformFleet starts a control host and two nodes with the users' headers, and
+// waits until they listen.
+func startPlatformFleet(t *testing.T) *fleet {
 	f := newJoiningFleet(t, 1, 0)
 	f.controls[0].Join = []string{f.controls[0].API}
 	f.startControl(0)
@@ -127,19 +126,24 @@
 		f.nodes = append(f.nodes, settings)
 		f.start(settings.Name, "node", settings, "--platform")
 	}
-	readyStatus := func(n int) int {
-		status, _, _ := f.call(http.MethodGet, "http://"+f.nodes[n].Ready+"/v1/ready", nil, nil)
-		return status
-	}
 	f.eventually("listening nodes", func() error {
-		if readyStatus(0) == 0 || readyStatus(1) == 0 {
+		if f.readyStatus(0) == 0 || f.readyStatus(1) == 0 {
 			return errors.New("a node is not listening")
 		}
 		return nil
 	})
-	if status, _, _, err := f.sendPlatform(0, http.MethodGet, "/a/1", "early"); status != http.StatusServiceUnavailable || err != nil || readyStatus(0) == http.StatusOK {
-		t.Errorf("before the first plan: status %d, %v, readiness %d", status, err, readyStatus(0))
-	}
+	return f
+}
+
+// readyStatus returns the status of a node's readiness check, or 0.
+func (f *fleet) readyStatus(n int) int {
+	status, _, _ := f.call(http.MethodGet, "http://"+f.nodes[n].Ready+"/v1/ready", nil, nil)
+	return status
+}
+
+// startInstances starts two instances of the lookup service and waits until both nodes
+// send requests to both.
+func (f *fleet) startInstances(t *testing.T) (*instance, *instance) {
 	f.eventually("plan", func() error { return f.checkAccepted(f.putPlan(0, platformPlan(), 0)) })
 	first, second := newInstance(t, "i-1"), newInstance(t, "i-2")
 	for n, i := range []*instance{first, second} {
@@ -148,6 +152,18 @@
 		}
 	}
 	f.eventually("both instances serve both nodes", func() error { return f.checkSpread(first, second) })
+	return first, second
+}
+
+// TestPlatform tests the interface to the users' platform from end to end: a
+// plan, instances that report their state, requests with the platform's headers,
+// faulty instances, and an instance that leaves.
+func TestPlatform(t *testing.T) {
+	f := startPlatformFleet(t)
+	if status, _, _, err := f.sendPlatform(0, http.MethodGet, "/a/1", "early"); status != http.StatusServiceUnavailable || err != nil || f.readyStatus(0) == http.StatusOK {
+		t.Errorf("before the first plan: status %d, %v, readiness %d", status, err, f.readyStatus(0))
+	}
+	first, second := f.startInstances(t)
 	f.checkRequests(t, first)
 	f.checkFailures(t, first, second)
 	f.checkLeaving(t, first)
