An instance that says in its responses that it leaves is drained

What callers saw: requests that an instance took up while it was about to end.

Cause: only the instance's report, which may be late or lost, told its node that it leaves. Class: a state that is read from one of two places that tell it.

--- a/node/notice.go
+++ b/node/notice.go
@@ -9,6 +9,10 @@
 	"github.com/damaskpitch/damaskpitch/gate"
 )
 
+// _minRate is the lowest rate at which an instance gets requests, in requests per second.
+// Without any response, nobody would learn that its limit has ended.
+const _minRate = 0.25
+
 // notice is what a backend server says about itself in a response.
 type notice struct {
 	maxRate float64 // requests per second, or 0 for no limit
@@ -16,7 +20,7 @@
 }
 
 // parseNotice reads the notice in the header of a response. It returns false if the rate
-// is not a number of 0 or more.
+// is not a number of 0 or more; the rest of the notice holds.
 func (h Headers) parseNotice(header http.Header) (notice, bool) {
 	var n notice
 	if h.Leaving != "" {
@@ -37,26 +41,40 @@
 	return n, true
 }
 
-// _minRate is the lowest rate at which an instance gets requests, in requests per second.
-// Without any response, nobody would learn that its limit has ended.
-const _minRate = 0.25
-
 // observeNotice acts on what an instance says about itself in a response of its own. Its
 // own node limits the rate, since all requests pass it.
 func (s *Server) observeNotice(id string, header http.Header) {
 	n, ok := s.headers.parseNotice(header)
 	if !ok {
 		s.log.Warn("ignored the limit of an instance", slog.String("instance", id), slog.String("value", header.Get(s.headers.MaxRate)))
-		return
+		n.maxRate = s.noticedMaxRate(id)
 	}
+	if s.recordNotice(id, n) && n.leaving {
+		s.drainInstance(id)
+	}
+}
+
+// noticedMaxRate returns the limit that an instance has last named, or 0.
+func (s *Server) noticedMaxRate(id string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b := s.backends[id]; b != nil {
+		return b.notice.maxRate
+	}
+	return 0
+}
+
+// recordNotice records an instance's notice and reports whether it is new.
+func (s *Server) recordNotice(id string, n notice) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.backends[id]
 	if b == nil || b.notice == n {
-		return
+		return false
 	}
 	s.log.Info("instance notice", slog.String("instance", id), slog.Float64("max_rate", n.maxRate),
 		slog.Float64("max_rate_before", b.notice.maxRate), slog.Bool("leaving", n.leaving))
 	b.notice = n
 	s.updateGateLocked(gate.MaxRateMsg{ID: id, PerSecond: n.maxRate, At: s.now()})
+	return true
 }
--- a/node/notice_test.go
+++ b/node/notice_test.go
@@ -26,6 +26,7 @@
 		{"infinite", "Inf", "", notice{}, false},
 		{"too large", "1e999", "", notice{}, false},
 		{"text", "few", "", notice{}, false},
+		{"text and leaving", "few", "1", notice{leaving: true}, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
