An ingress remembers which instances have told it that they leave

What callers saw: requests that an instance took up while it was about to end, after its own node had started again.

Cause: only the owner knew, and a new process of it knows nothing until a report says so, which may never come. Class: knowledge that others act on, kept in one process only.

Change: an ingress that has passed on such a response chooses the instance no more until it has started again (another start time) or five minutes have passed.

--- a/node/attempt.go
+++ b/node/attempt.go
@@ -223,6 +223,7 @@
 		}
 	}
 	e.recordLoad(res)
+	e.recordDeparture(res)
 }
 
 // searchMsg returns the message that reports an attempt to the search.
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -43,6 +43,7 @@
 	loads     *route.LoadTracker
 	latencies route.Latencies
 	budget    retry.Budget
+	left      departures // instances that have told this node that they leave
 }
 
 func newFleet(center string) *fleet {
@@ -284,7 +285,7 @@
 	defer s.mu.Unlock()
 	changed := !sameRoutes(s.spec, declared.Service)
 	s.spec = declared.Service
-	s.pool = route.NewPool(declared, f.center, list).WithUnreachable(f.unreachable)
+	s.pool = route.NewPool(declared, f.center, s.left.exclude(list)).WithUnreachable(f.unreachable)
 	s.loads.Retain(s.pool)
 	return changed
 }
@@ -315,6 +316,7 @@
 			Addr:     m.Addr,
 			Epoch:    m.Epoch,
 			Slots:    i.Slots,
+			Born:     i.Born,
 			Excluded: i.Leaving || m.Reachability == view.Unreachable || v.Ejected(key),
 		})
 	}
@@ -331,6 +333,7 @@
 			Addr:     r.Member.Addr,
 			Epoch:    r.Member.Epoch,
 			Slots:    r.Instance.Slots,
+			Born:     r.Instance.Born,
 			Excluded: r.Instance.Leaving,
 		}
 		at := slices.IndexFunc(list, func(known route.Candidate) bool { return known.Key == c.Key })
--- a/route/pool.go
+++ b/route/pool.go
@@ -20,6 +20,9 @@
 	// Slots is the number of requests that the instance runs at a time, or 0 for
 	// the service's default.
 	Slots int
+	// Born is when the instance started, in milliseconds of its own clock, or 0. It tells
+	// the instance from an earlier one with the same key.
+	Born int64
 
 	hash uint32 // identifies the instance in reports
 }
@@ -91,3 +94,15 @@
 	}
 	return p
 }
+
+// WithExcluded returns the pool with one instance excluded.
+func (p Pool) WithExcluded(k view.Key) Pool {
+	p.Candidates = slices.Clone(p.Candidates)
+	for i, c := range p.Candidates {
+		if c.Key == k && !c.Excluded {
+			p.Candidates[i].Excluded = true
+			p.MaxAvoided--
+		}
+	}
+	return p
+}
