A report of another writer cannot keep a sound instance out

Report of other operators: one odd entry among those of the instances, and the readers ended or stopped following. Processes do not end here: nesting, numbers that are too large and bytes that cannot be read are refused (TestOddReports has 22 such entries). But nine were accepted: a start in the far future or at the limit of the type took the place of the instance at that address and kept its reports out for good; a sequence at the limit did so for its ID; port 0, the unspecified address and control characters in names were registered, and the latter made requests to their owner fail, for which it was taken for unreachable.

Change: a report's start may be ten minutes ahead at most, its sequence below 2^62; names are printable ASCII, addresses have a host and a port.

--- a/node/instance.go
+++ b/node/instance.go
@@ -20,6 +20,12 @@
 	_reportLease = 8 * time.Second
 	_maxWarmup   = 10 * time.Minute
 	_maxSlots    = 10000
+	// _maxSequence leaves room for sequences that are times in nanoseconds. The largest
+	// number would keep out all later reports.
+	_maxSequence = 1 << 62
+	// _maxClockSkew is how far an instance's clock may be ahead of this node's. A start
+	// far in the future would keep out the sound instance at that address.
+	_maxClockSkew = 10 * time.Minute
 )
 
 // State is the state that an instance reports.
@@ -64,12 +70,22 @@
 		return &spec.FieldError{Field: "Report.slots", Value: strconv.Itoa(p.Slots), Want: "1 to 10000"}
 	case p.Warm < 0 || p.Warm.Std() > _maxWarmup:
 		return &spec.FieldError{Field: "Report.warm", Value: p.Warm.String(), Want: "0s to 10m"}
-	case p.Sequence == nil:
-		return &spec.FieldError{Field: "Report.sequence", Want: "a number"}
+	case p.Sequence == nil || *p.Sequence < 0 || *p.Sequence > _maxSequence:
+		return &spec.FieldError{Field: "Report.sequence", Want: "a number from 0 to 2^62"}
+	case p.Born < 0:
+		return &spec.FieldError{Field: "Report.born", Value: strconv.FormatInt(p.Born, 10), Want: "0 or more"}
 	}
 	return p.instance(id).Check()
 }
 
+// checkBorn returns an error for a start that is in the future.
+func (p Report) checkBorn(now time.Time) error {
+	if p.Born > now.Add(_maxClockSkew).UnixMilli() {
+		return &spec.FieldError{Field: "Report.born", Value: strconv.FormatInt(p.Born, 10), Want: "a time in the past, in milliseconds"}
+	}
+	return nil
+}
+
 func (p Report) instance(id string) view.Instance {
 	return view.Instance{ID: id, Service: p.Service, Addr: p.Addr, Born: p.Born, Slots: p.Slots}
 }
@@ -93,6 +109,9 @@
 func (s *Server) putInstance(w http.ResponseWriter, r *http.Request) {
 	id := mux.Vars(r)["id"]
 	p, err := ParseReport(id, http.MaxBytesReader(w, r.Body, _maxAnnouncement))
+	if err == nil {
+		err = p.checkBorn(time.Now())
+	}
 	if err != nil {
 		s.log.Warn("invalid instance report", slog.String("instance", id), slog.Any("error", err))
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/view/member.go
+++ b/view/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 
 	"github.com/damaskpitch/damaskpitch/spec"
 )
@@ -62,15 +63,21 @@
 
 // Check returns a spec.FieldError for the first invalid field.
 func (i Instance) Check() error {
-	if i.ID == "" || len(i.ID) > 128 {
-		return &spec.FieldError{Field: "Instance.id", Value: i.ID, Want: "1 to 128 bytes"}
+	if !isName(i.ID, 128) {
+		return &spec.FieldError{Field: "Instance.id", Value: i.ID, Want: "1 to 128 printable ASCII characters without spaces"}
 	}
-	if i.Service == "" || len(i.Service) > 63 {
-		return &spec.FieldError{Field: "Instance.service", Value: i.Service, Want: "1 to 63 bytes"}
+	if !isName(i.Service, 63) {
+		return &spec.FieldError{Field: "Instance.service", Value: i.Service, Want: "1 to 63 printable ASCII characters without spaces"}
 	}
 	return checkAddr("Instance.addr", i.Addr)
 }
 
+// isName reports whether a name can be sent in a header.
+func isName(name string, maxLen int) bool {
+	unprintable := func(r rune) bool { return r <= ' ' || r >= 0x7f }
+	return name != "" && len(name) <= maxLen && !strings.ContainsFunc(name, unprintable)
+}
+
 // WithLeaving returns a copy of the instance marked as leaving.
 func (i Instance) WithLeaving() Instance {
 	i.Leaving = true
@@ -89,7 +96,7 @@
 }
 
 func checkAddr(field, addr string) error {
-	if _, err := netip.ParseAddrPort(addr); err != nil {
+	if a, err := netip.ParseAddrPort(addr); err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
 		return &spec.FieldError{Field: field, Value: addr, Want: "an IP address and port, such as 127.0.0.1:7000"}
 	}
 	return nil
