An invalid rumor does not hold up the rest of a peer's reply

A pull's reply was refused as a whole if one of its rumors was invalid, so a node without control hosts got no changes from that peer, for as long as the rumor was passed on. TestInvalidRumor failed before: decode proto.Delta: value 10.1.1.1:99999.

--- a/gossip/rumor.go
+++ b/gossip/rumor.go
@@ -57,12 +57,12 @@
 }
 
 // mergeRumors adds the newer rumors of a peer and returns the services that they
-// affect.
+// affect. An invalid one is ignored, so that it does not hold up the rest of the reply.
 func (m Model) mergeRumors(list []proto.Rumor, at time.Duration) []string {
 	var affected []string
 	for _, r := range list {
 		old, ok := m.rumors[r.Key()]
-		if r.Member.Node == m.cfg.Node || m.supersedes(r) || ok && !r.NewerThan(old.rumor) {
+		if r.Check() != nil || r.Member.Node == m.cfg.Node || m.supersedes(r) || ok && !r.NewerThan(old.rumor) {
 			continue
 		}
 		m.rumors[r.Key()] = receivedRumor{rumor: r, at: at}
--- a/gossip/rumor_test.go
+++ b/gossip/rumor_test.go
@@ -146,3 +146,33 @@
 		t.Errorf("rumors %+v", got)
 	}
 }
+
+// TestInvalidRumor guards against one invalid rumor that keeps a node from taking over the
+// other rumors and the changes of a reply, with the codec that decodes it.
+func TestInvalidRumor(t *testing.T) {
+	p := newPeerNetwork(3)
+	odd := instance(7)
+	odd.Addr = "10.1.1.1:99999"
+	p.submit(store.RegisterMember{Member: member(9, 1)})
+	d := deltaSince(p.control, p.models[0].View().Rev)
+	d.Rumors = []proto.Rumor{
+		{Member: member(1, 1), Timestamp: 1, Instance: odd},
+		{Member: member(2, 1), Timestamp: 1, Instance: instance(2)},
+	}
+	data, err := proto.Codec.Encode(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := proto.Codec.Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	delta, _ := decoded.(proto.Delta)
+	m, _ := p.models[0].Update(DeltaMsg{Source: Peer, Delta: delta})
+	if got := m.Rumors(_service); len(got) != 1 || got[0].Instance != instance(2) {
+		t.Errorf("rumors %+v, want only the valid one", got)
+	}
+	if m.View().Rev != p.control.View().Rev {
+		t.Errorf("revision %d, want %d", m.View().Rev, p.control.View().Rev)
+	}
+}
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -66,16 +66,6 @@
 	return r.Instance.Check()
 }
 
-// Check returns a FieldError for the first invalid rumor.
-func (d Delta) Check() error {
-	for _, r := range d.Rumors {
-		if err := r.Check(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Heartbeat renews a member's lease. It carries the revision that the member has
 // applied and a digest of its instances.
 type Heartbeat struct {
