A refusal of another request says nothing about this one

Report of other operators: a faulty instance wrote an earlier refusal once more on a kept connection. It can happen here: the owner looked for a refusal before it looked at the request's ID in the response. Callers were told 503, not run, for requests that had run, and unsafe ones ran a second time elsewhere, though only if the refusal came on a new connection, since unsafe requests use no kept ones.

Change: a response with another ID is no response at all. Its connection is closed, since the request's own response may still come on it.

--- a/node/owner.go
+++ b/node/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -318,8 +319,12 @@
 		return
 	}
 	var connected atomic.Bool
+	var conn net.Conn
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn = info.Conn
+			connected.Store(true)
+		},
 	})
 	response, err := transport.RoundTrip(j.request(traced, addr, w))
 	if err != nil {
@@ -333,7 +338,15 @@
 		return
 	}
 	defer response.Body.Close()
-	if s.answersRequest(response, j.r) && response.StatusCode != http.StatusMisdirectedRequest {
+	if !s.answersRequest(response, j.r) {
+		// Neither a refusal nor a success in it says anything about this request, whose
+		// own response may still arrive on the connection.
+		_ = conn.Close()
+		s.finishWork(j.instance, j.ref, workFailed)
+		j.respondNoResponse(true, errAnotherRequest)
+		return
+	}
+	if response.StatusCode != http.StatusMisdirectedRequest {
 		s.observeNotice(j.instance, response.Header)
 	}
 	if reason := s.notRunReason(response); reason != "" {
@@ -342,7 +355,7 @@
 		j.refusedByInstance(reason)
 		return
 	}
-	if reason := s.responseFault(response, j.r); reason != "" {
+	if reason := s.responseFault(response); reason != "" {
 		s.finishWork(j.instance, j.ref, workFailed)
 		j.respondNoResponse(true, errors.New(reason))
 		return
--- a/node/reply.go
+++ b/node/reply.go
@@ -101,6 +101,9 @@
 	return ""
 }
 
+// errAnotherRequest reports a response to another request than the one that was sent.
+var errAnotherRequest = errors.New("answer to another request")
+
 // answersRequest reports whether the ID in a response, if there must be one, is that of
 // the request.
 func (s *Server) answersRequest(response *http.Response, r *http.Request) bool {
@@ -108,12 +111,8 @@
 	return id == r.Header.Get(s.headers.RequestID) || id == "" && !s.headers.EchoesRequestID
 }
 
-// responseFault returns why a response may be incomplete or belong to another
-// request, or an empty string.
-func (s *Server) responseFault(response *http.Response, r *http.Request) string {
-	if !s.answersRequest(response, r) {
-		return "answer to another request"
-	}
+// responseFault returns why a response may be incomplete, or an empty string.
+func (s *Server) responseFault(response *http.Response) string {
 	success := response.StatusCode < http.StatusMultipleChoices
 	if success && s.headers.ResponseStamp != "" && response.Header.Get(s.headers.ResponseStamp) == "" {
 		return "success without the backend server's proof"
@@ -121,7 +120,7 @@
 	// A body that ends when the connection closes cannot be told from a truncated
 	// one, unless the backend server stamps its responses.
 	chunked := len(response.TransferEncoding) > 0
-	if s.headers.ResponseStamp == "" && response.ContentLength < 0 && !chunked && r.Method != http.MethodHead {
+	if s.headers.ResponseStamp == "" && response.ContentLength < 0 && !chunked && response.Request.Method != http.MethodHead {
 		return "answer without a length"
 	}
 	return ""
--- a/trials/platform_test.go
+++ b/trials/platform_test.go
@@ -72,9 +72,14 @@
 
 // report reports an instance's state to a node, as the platform does.
 func (f *fleet) report(node int, i *instance, service, state string, sequence int) (int, error) {
+	return f.reportAddr(node, i.id, i.addr(), service, state, sequence)
+}
+
+// reportAddr is report for an instance that is given by its ID and address.
+func (f *fleet) reportAddr(node int, id, addr, service, state string, sequence int) (int, error) {
 	body := fmt.Sprintf(`{"service":%q,"addr":%q,"center":"mida","version":"v1","slots":4,"state":%q,"warm":"0ms","sequence":%d,"born":1}`,
-		service, i.addr(), state, sequence)
-	status, _, err := f.call(http.MethodPut, "http://"+f.nodes[node].Local+"/v1/instances/"+i.id, nil, []byte(body))
+		service, addr, state, sequence)
+	status, _, err := f.call(http.MethodPut, "http://"+f.nodes[node].Local+"/v1/instances/"+id, nil, []byte(body))
 	return status, err
 }
 
