An owner that has restarted adopts the limit that an instance has named to ingresses

What callers saw: nothing; an instance with a limit got as many requests as it has slots after each restart of its own node.

Cause: as for leaving, only the owner's process knew the limit. Class: knowledge that others act on, kept in one process only.

Change: an ingress remembers the last notice of each instance (the remembered departures are part of it) and sends the limit with its attempts; an owner uses it until the instance responds for the first time.

The trials of leaving instances failed in about one of five runs: nodes choose by latency, so the leaving instance was not chosen for up to 8 s, and the lease of the other one ended. The other instance is slower now; what is checked stays.

--- a/node/attempt.go
+++ b/node/attempt.go
@@ -223,7 +223,7 @@
 		}
 	}
 	e.recordLoad(res)
-	e.recordDeparture(res)
+	e.recordNotice(res)
 }
 
 // searchMsg returns the message that reports an attempt to the search.
@@ -345,6 +345,9 @@
 	if res.hint != (route.Hint{}) {
 		r.Header.Set(_headerHint, formatHint(res.hint))
 	}
+	if rate := e.maxRateHint(c); rate != "" {
+		r.Header.Set(_headerMaxRate, rate)
+	}
 	if reports := e.server.fleet.reports(e.match.Service.Name, c.Key, e.server.now()); reports != "" {
 		r.Header.Set(_headerReports, reports)
 	}
--- a/node/backend.go
+++ b/node/backend.go
@@ -41,6 +41,7 @@
 	inFlight       map[ledger.Ref]*work
 	bodyTimePerMiB time.Duration // smoothed time of a response body per MiB; 0 if unknown
 	notice         notice        // of its last response
+	responded      bool          // since it was announced here
 	// pooled reuses connections, for requests that may be repeated. unpooled opens a
 	// connection for each request.
 	pooled, unpooled *http.Transport
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -43,7 +43,7 @@
 	loads     *route.LoadTracker
 	latencies route.Latencies
 	budget    retry.Budget
-	left      departures // instances that have told this node that they leave
+	heard     heardNotices
 }
 
 func newFleet(center string) *fleet {
@@ -285,7 +285,7 @@
 	defer s.mu.Unlock()
 	changed := !sameRoutes(s.spec, declared.Service)
 	s.spec = declared.Service
-	s.pool = route.NewPool(declared, f.center, s.left.exclude(list)).WithUnreachable(f.unreachable)
+	s.pool = route.NewPool(declared, f.center, s.heard.exclude(list)).WithUnreachable(f.unreachable)
 	s.loads.Retain(s.pool)
 	return changed
 }
--- a/node/header.go
+++ b/node/header.go
@@ -56,6 +56,7 @@
 	_headerPriority        = _internalPrefix + "Rank"
 	_headerTarget          = _internalPrefix + "Target"
 	_headerReports         = _internalPrefix + "News"
+	_headerMaxRate         = _internalPrefix + "Rate"
 )
 
 // errMalformedHeader reports an internal header that cannot be parsed.
--- a/node/notice.go
+++ b/node/notice.go
@@ -33,12 +33,19 @@
 	if text == "" {
 		return n, true
 	}
+	var ok bool
+	n.maxRate, ok = parseRate(text)
+	return n, ok
+}
+
+// parseRate reads a limit in requests per second. It returns false if the text is not a
+// number of 0 or more.
+func parseRate(text string) (float64, bool) {
 	rate, err := strconv.ParseFloat(text, 64)
 	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
-		return n, false
+		return 0, false
 	}
-	n.maxRate = max(rate, _minRate)
-	return n, true
+	return max(rate, _minRate), true
 }
 
 // observeNotice acts on what an instance says about itself in a response of its own. Its
@@ -69,7 +76,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.backends[id]
-	if b == nil || b.notice == n {
+	if b == nil {
+		return false
+	}
+	b.responded = true
+	if b.notice == n {
 		return false
 	}
 	s.log.Info("instance notice", slog.String("instance", id), slog.Float64("max_rate", n.maxRate),
--- a/node/owner.go
+++ b/node/owner.go
@@ -95,6 +95,9 @@
 	if err := s.fleet.mergeReports(s.serviceOf(r.Header.Get(_headerInstance)), r.Header.Get(_headerReports), s.now()); err != nil {
 		s.log.Warn("ignored load reports of an ingress", slog.String("attempt", ref.String()), slog.Any("error", err))
 	}
+	if rate := r.Header.Get(_headerMaxRate); rate != "" {
+		s.adoptMaxRate(r.Header.Get(_headerInstance), rate)
+	}
 	if s.stopping.Load() && s.cfg.Settings.Stop > 0 {
 		s.notRun(w, _reasonStop)
 		return
--- a/trials/leaving_test.go
+++ b/trials/leaving_test.go
@@ -22,27 +22,35 @@
 	return &reached
 }
 
-// sendUntilLeaving sends requests to each node until it has passed on a response of an
-// instance that leaves.
-func (f *fleet) sendUntilLeaving(i *instance) {
-	for n := range f.nodes {
-		f.eventually("a response of the leaving instance", func() error {
-			_, _, header, err := f.sendPlatform(n, http.MethodGet, "/a/1", fmt.Sprintf("u-%d-%d", n, time.Now().UnixNano()))
-			if err != nil || header.Get(i.names.Leaving) != "1" {
-				return fmt.Errorf("not from the leaving instance: %w", err)
-			}
-			return nil
-		})
-	}
+// slowDown lets an instance take so long that nodes choose the other one while they may.
+func slowDown(i *instance) {
+	i.setHandler(func(http.ResponseWriter, *http.Request) bool {
+		time.Sleep(30 * time.Millisecond)
+		return false
+	})
+}
+
+// sendUntilLeaving sends requests to a node until it has passed on a response of an
+// instance that leaves. Nodes may keep away from the instance from then on, so the requests
+// are such that are not hedged: the caller gets the first response of the instance.
+func (f *fleet) sendUntilLeaving(node int, i *instance) {
+	f.eventually("a response of the leaving instance", func() error {
+		_, _, header, err := f.sendPlatform(node, http.MethodPost, "/b/1", fmt.Sprintf("u-%d", time.Now().UnixNano()))
+		if err != nil || header.Get(i.names.Leaving) != "1" {
+			return fmt.Errorf("not from the leaving instance: %w", err)
+		}
+		return nil
+	})
 }
 
 // TestLeavingInstanceByResponse guards against requests that reach an instance after the
 // grace period although its responses say that it leaves.
 func TestLeavingInstanceByResponse(t *testing.T) {
 	f := startPlatformFleet(t)
-	leaving, _ := f.startInstances(t)
+	leaving, other := f.startInstances(t)
 	reached := sayLeaving(leaving)
-	f.sendUntilLeaving(leaving)
+	slowDown(other)
+	f.sendUntilLeaving(0, leaving)
 	time.Sleep(spec.Service{}.WithDefaults().Grace.Std())
 	if status, err := f.report(0, leaving, "lookup", "ready", 2); status != http.StatusOK || err != nil {
 		t.Fatalf("report: %d, %v", status, err)
@@ -68,9 +76,10 @@
 // not.
 func TestLeavingInstanceAfterOwnerRestart(t *testing.T) {
 	f := startPlatformFleet(t)
-	leaving, _ := f.startInstances(t)
+	leaving, other := f.startInstances(t)
 	reached := sayLeaving(leaving)
-	f.sendUntilLeaving(leaving)
+	slowDown(other)
+	f.sendUntilLeaving(1, leaving)
 	time.Sleep(spec.Service{}.WithDefaults().Grace.Std())
 	f.kill(f.nodes[0].Name)
 	f.start(f.nodes[0].Name, "node", f.nodes[0], "--platform")
--- a/trials/platform_test.go
+++ b/trials/platform_test.go
@@ -72,13 +72,13 @@
 
 // report reports an instance's state to a node, as the platform does.
 func (f *fleet) report(node int, i *instance, service, state string, sequence int) (int, error) {
-	return f.reportAddr(node, i.id, i.addr(), service, state, sequence)
+	return f.reportAddr(node, i.id, i.addr(), service, state, sequence, 4)
 }
 
 // reportAddr is report for an instance that is given by its ID and address.
-func (f *fleet) reportAddr(node int, id, addr, service, state string, sequence int) (int, error) {
-	body := fmt.Sprintf(`{"service":%q,"addr":%q,"center":"mida","version":"v1","slots":4,"state":%q,"warm":"0ms","sequence":%d,"born":1}`,
-		service, addr, state, sequence)
+func (f *fleet) reportAddr(node int, id, addr, service, state string, sequence, slots int) (int, error) {
+	body := fmt.Sprintf(`{"service":%q,"addr":%q,"center":"mida","version":"v1","slots":%d,"state":%q,"warm":"0ms","sequence":%d,"born":1}`,
+		service, addr, slots, state, sequence)
 	status, _, err := f.call(http.MethodPut, "http://"+f.nodes[node].Local+"/v1/instances/"+id, nil, []byte(body))
 	return status, err
 }
--- a/trials/raw_test.go
+++ b/trials/raw_test.go
@@ -89,7 +89,7 @@
 	f := startPlatformFleet(t)
 	f.eventually("plan", func() error { return f.checkAccepted(f.putPlan(0, platformPlan(), 0)) })
 	for n, i := range instances {
-		if status, err := f.reportAddr(n, i.id, i.listener.Addr().String(), "lookup", "ready", 1); status != http.StatusOK || err != nil {
+		if status, err := f.reportAddr(n, i.id, i.listener.Addr().String(), "lookup", "ready", 1, 4); status != http.StatusOK || err != nil {
 			t.Fatalf("report: %d, %v", status, err)
 		}
 	}
