A poll that fails begins a search, whatever another host said during it

What callers saw: none traced; found by reading the new code.

Cause: a host that had answered the rotation's pull during a poll was polled next when that poll failed, though it may have failed with the polled one: two waits of 1.2 s one after the other.

Evidence: TestChangeInForceAfterRotation, both nodes late with two silent hosts before. TestChangeInForceAsControlHostsFail plays 200 rounds in place of 60.

--- a/gossip/delay_test.go
+++ b/gossip/delay_test.go
@@ -189,15 +189,33 @@
 		t.Run(fmt.Sprint("mode ", state), func(t *testing.T) {
 			f := newDelayFleet(24)
 			f.run(3*time.Second, 0)
-			for n := range 60 {
+			for n := range 200 {
 				f.setHosts(t, state, n%_hosts, (n+1+n/_hosts%2)%_hosts)
-				f.run(f.now+time.Duration(n%4)*100*time.Millisecond, 0)
+				f.run(f.now+time.Duration(n%17)*70*time.Millisecond, 0)
 				checkChanges(t, f, 1)
 			}
 		})
 	}
 }
 
+// TestChangeInForceAfterRotation guards against a node that goes on to a control host which
+// has failed together with the polled one, since it was current a moment ago.
+func TestChangeInForceAfterRotation(t *testing.T) {
+	host := func(addr string) int { return int(addr[1] - '0') }
+	for _, state := range []hostMode{_silent, _isolated, _refusing} {
+		t.Run(fmt.Sprint("mode ", state), func(t *testing.T) {
+			f := newDelayFleet(2)
+			f.run(3*time.Second, 0)
+			m := func() Model { return f.models[0] }
+			for m().pollAddr == "" || m().pollAddr == m().currentHost {
+				f.run(f.now+10*time.Millisecond, 0)
+			}
+			f.setHosts(t, state, host(m().pollAddr), host(m().currentHost))
+			checkChanges(t, f, 1)
+		})
+	}
+}
+
 // checkChanges makes changes at many points of the nodes' rounds, and checks that each
 // is in force everywhere in time.
 func checkChanges(t *testing.T, f *delayFleet, changes int) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -271,9 +271,8 @@
 		return m, cmds
 	}
 	m.at = msg.At
-	polled := m.pollAddr == msg.Addr
 	m.pullEnded(msg.Addr)
-	m.replied(msg.Addr, msg.Delta.Current && msg.Delta.Rev >= m.view.Rev, polled)
+	m.replied(msg.Addr, msg.Delta.Current && msg.Delta.Rev >= m.view.Rev)
 	return m, cmds
 }
 
--- a/gossip/hosts.go
+++ b/gossip/hosts.go
@@ -38,9 +38,7 @@
 		return nil
 	}
 	if m.pollAddr != "" && m.at >= m.pollOverdueAt() {
-		overdue := m.pollAddr
-		m.pollAddr = ""
-		m.suspect(overdue)
+		m.suspect(m.pollAddr)
 	}
 	switch {
 	case m.currentHost == "":
@@ -125,14 +123,19 @@
 	return !h.pulling && m.at >= h.suspectUntil
 }
 
-// suspect records that a control host failed or is not current.
+// suspect records that a control host failed or is not current. If it was polled, no other
+// one is known to be current either: what it said may be as old as the poll.
 func (m *Model) suspect(addr string) {
 	h := m.hosts[addr]
 	h.suspectUntil = m.at + _suspectTime
 	m.hosts[addr] = h
-	if m.currentHost == addr {
-		m.currentHost = ""
-		m.currentUntil = 0
+	if addr != m.pollAddr && addr != m.currentHost {
+		return
+	}
+	m.currentHost = ""
+	m.currentUntil = 0
+	if addr == m.pollAddr {
+		m.pollAddr = ""
 	}
 }
 
@@ -141,13 +144,10 @@
 	h := m.hosts[addr]
 	h.pulling = false
 	m.hosts[addr] = h
-	if m.pollAddr == addr {
-		m.pollAddr = ""
-	}
 }
 
 // replied records whether a control host is current.
-func (m *Model) replied(addr string, current, polled bool) {
+func (m *Model) replied(addr string, current bool) {
 	if !current {
 		m.suspect(addr)
 		return
@@ -156,8 +156,11 @@
 	h := m.hosts[addr]
 	h.suspectUntil = 0
 	m.hosts[addr] = h
-	if polled && m.currentHost != "" {
-		return // it is still to be polled, or another host has taken its place
+	if polled := addr == m.pollAddr; polled {
+		m.pollAddr = ""
+		if m.currentHost != "" {
+			return // it is still to be polled, or another host has taken its place
+		}
 	}
 	m.currentHost = addr
 	m.searches = 0
