An owner's refusal takes back no notice of an instance

Cause: an ingress took any response of an owner for one of the instance, so a refusal after the owner's restart made it forget the limit that it was to tell.

TestNoticeIsHeardFromInstanceOnly shows it without processes.

--- a/node/feedback_test.go
+++ b/node/feedback_test.go
@@ -26,6 +26,7 @@
 		{"stopping", _reasonStop, "", _stoppingRefusalTime},
 		{"unknown instance", string(gate.UnknownInstance), "", _unknownInstanceRefusalTime},
 		{"full", string(gate.Full), "", 0},
+		{"limited, duration from the owner", string(gate.Limited), "400", 400 * time.Millisecond},
 	}
 	for _, c := range cases {
 		key := view.Key{Node: "n", ID: "i"}
--- a/node/heard.go
+++ b/node/heard.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/damaskpitch/damaskpitch/gate"
+	"github.com/damaskpitch/damaskpitch/retry"
 	"github.com/damaskpitch/damaskpitch/route"
 	"github.com/damaskpitch/damaskpitch/view"
 )
@@ -65,8 +66,8 @@
 // recordNotice remembers what an instance has said about itself in its response, and keeps
 // further requests away from one that leaves.
 func (e *exchange) recordNotice(res *attemptResult) {
-	if res.response == nil || res.response.Header.Get(_headerExecution) == "" {
-		return
+	if res.response == nil || res.execution != retry.Executed {
+		return // the owner's response, which tells nothing of the instance
 	}
 	n, ok := e.server.headers.parseNotice(res.response.Header)
 	e.service.mu.Lock()
--- a/node/heard_test.go
+++ b/node/heard_test.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
+	"github.com/damaskpitch/damaskpitch/retry"
 	"github.com/damaskpitch/damaskpitch/route"
 	"github.com/damaskpitch/damaskpitch/view"
 )
@@ -52,3 +54,37 @@
 		t.Errorf("%d notices are remembered, want 1", len(h))
 	}
 }
+
+// TestNoticeIsHeardFromInstanceOnly guards against an owner's refusal, which carries no
+// notice, that takes back what the instance has said.
+func TestNoticeIsHeardFromInstanceOnly(t *testing.T) {
+	instance := route.Candidate{Key: view.Key{Node: "n1", ID: "i1"}, Born: 7}
+	names := Headers{}.withDefaults()
+	e := &exchange{
+		server:  &Server{start: time.Now(), headers: names},
+		service: &service{loads: route.NewLoadTracker(), pool: route.Pool{Candidates: []route.Candidate{instance}}},
+	}
+	hear := func(execution retry.Execution, rate string) float64 {
+		header := http.Header{}
+		header.Set(_headerExecution, string(execution))
+		header.Set(names.MaxRate, rate)
+		e.recordNotice(&attemptResult{execution: execution, choice: route.Choice{Candidate: instance}, response: &http.Response{Header: header}})
+		return e.service.heard.of(instance).maxRate
+	}
+	steps := []struct {
+		name      string
+		execution retry.Execution
+		rate      string
+		want      float64
+	}{
+		{"named", retry.Executed, "2", 2},
+		{"the owner refuses", retry.NotExecuted, "", 2},
+		{"no number", retry.Executed, "few", 2},
+		{"no longer named", retry.Executed, "", 0},
+	}
+	for _, step := range steps {
+		if got := hear(step.execution, step.rate); got != step.want {
+			t.Errorf("%s: %v a second, want %v", step.name, got, step.want)
+		}
+	}
+}
