A notice counts for the start of the instance that gave it, in a response that is sound

Found by reading: a late response of an earlier start with the same ID could drain the new one, and a response without its stamp, or a refusal without the header, took a limit back. TestObserveNotice has these cases.

--- a/node/notice.go
+++ b/node/notice.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/damaskpitch/damaskpitch/gate"
+	"github.com/damaskpitch/damaskpitch/ledger"
 )
 
 // _minRate is the lowest rate at which an instance gets requests, in requests per second.
@@ -48,19 +49,27 @@
 	return max(rate, _minRate), true
 }
 
-// observeNotice acts on what an instance says about itself in a response of its own. Its
-// own node limits the rate, since all requests pass it.
-func (s *Server) observeNotice(id string, header http.Header) {
+// observeNotice acts on what an instance says about itself in its response to an attempt.
+// Its own node limits the rate, since all requests pass it.
+func (s *Server) observeNotice(id string, ref ledger.Ref, header http.Header) {
 	n, ok := s.headers.parseNotice(header)
 	if !ok {
 		s.log.Warn("ignored the limit of an instance", slog.String("instance", id), slog.String("value", header.Get(s.headers.MaxRate)))
 		n.maxRate = s.noticedMaxRate(id)
 	}
-	if s.recordNotice(id, n) && n.leaving {
+	if s.recordNotice(id, ref, n) && n.leaving {
 		s.drainInstance(id)
 	}
 }
 
+// observeRefusal is observeNotice for a response that refuses an attempt. A refusal without
+// a notice takes none back.
+func (s *Server) observeRefusal(id string, ref ledger.Ref, header http.Header) {
+	if n, ok := s.headers.parseNotice(header); ok && n != (notice{}) {
+		s.observeNotice(id, ref, header)
+	}
+}
+
 // noticedMaxRate returns the limit that an instance has last named, or 0.
 func (s *Server) noticedMaxRate(id string) float64 {
 	s.mu.Lock()
@@ -71,12 +80,13 @@
 	return 0
 }
 
-// recordNotice records an instance's notice and reports whether it is new.
-func (s *Server) recordNotice(id string, n notice) bool {
+// recordNotice records an instance's notice and reports whether it is new. A response of
+// an earlier start of the instance says nothing about this one.
+func (s *Server) recordNotice(id string, ref ledger.Ref, n notice) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.backends[id]
-	if b == nil {
+	if b == nil || b.inFlight[ref] == nil {
 		return false
 	}
 	b.responded = true
--- a/node/owner.go
+++ b/node/owner.go
@@ -349,10 +349,10 @@
 		j.respondNoResponse(true, errAnotherRequest)
 		return
 	}
-	if response.StatusCode != http.StatusMisdirectedRequest {
-		s.observeNotice(j.instance, response.Header)
-	}
 	if reason := s.notRunReason(response); reason != "" {
+		if reason != string(gate.UnknownInstance) {
+			s.observeRefusal(j.instance, j.ref, response.Header)
+		}
 		s.finishWork(j.instance, j.ref, workCanceled)
 		j.setLoadHeaders()
 		j.refusedByInstance(reason)
@@ -363,6 +363,7 @@
 		j.respondNoResponse(true, errors.New(reason))
 		return
 	}
+	s.observeNotice(j.instance, j.ref, response.Header)
 	w.startResponse()
 	s.stats.work.RecordDuration(w.instanceTime())
 	j.respond(ctx, response, w)
