A node's calls to control go to a host that is current, and wait for a silent one once

Requests with a key fail, and a new instance stays unknown to other nodes, while a node waits for one silent control host after another, 2 s each.

Cause: without a known leader the hosts were asked in turn, whether they had answered lately or not. Class: serial timeouts on a path with a deadline.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -225,6 +225,11 @@
 	return m.control
 }
 
+// CurrentHost returns the control host that has lately said that it is current, or "".
+func (m Model) CurrentHost() string {
+	return m.currentHost
+}
+
 // learnedControl returns the control hosts, or nil while only the configured ones are
 // known.
 func (m Model) learnedControl() []string {
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -136,13 +136,23 @@
 	}
 }
 
-// callControl calls the known leader of a group, or else the control hosts in turn.
+// callControl calls the known leader of a group, or else the control hosts: first the one
+// that is current, which knows the leader, then the others in turn. A host that does not
+// answer costs the call's whole timeout, so it is asked once.
 func (s *Server) callControl(ctx context.Context, group uint32, msg any) (any, error) {
 	hosts := s.viewSync.controlAddrs()
+	silent := make(map[string]bool, len(hosts))
 	for range len(hosts) + _maxRedirects {
 		addr := s.leaderAddr(group)
+		if addr == "" || silent[addr] {
+			addr = s.nextControlHost(silent)
+		}
+		if addr == "" {
+			break
+		}
 		reply, err := s.call(ctx, addr, msg)
 		if err != nil {
+			silent[addr] = true
 			s.setLeader(group, "")
 			continue
 		}
@@ -167,16 +177,26 @@
 	return "", false
 }
 
-// leaderAddr returns the address of a group's last known leader, or of the next
-// control host in turn.
+// leaderAddr returns the address of a group's last known leader, or "".
 func (s *Server) leaderAddr(group uint32) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if addr := s.leaders[group]; addr != "" {
+	return s.leaders[group]
+}
+
+// nextControlHost returns the control host that is current, or the next one in turn, but
+// none of those that do not answer; it returns "" if there is no other.
+func (s *Server) nextControlHost(silent map[string]bool) string {
+	if addr := *s.viewSync.currentHost.Load(); addr != "" && !silent[addr] {
 		return addr
 	}
 	hosts := s.viewSync.controlAddrs()
-	return hosts[s.nextControl.Add(1)%uint64(len(hosts))]
+	for range hosts {
+		if addr := hosts[s.nextControl.Add(1)%uint64(len(hosts))]; !silent[addr] {
+			return addr
+		}
+	}
+	return ""
 }
 
 func (s *Server) setLeader(group uint32, addr string) {
--- a/node/viewsync.go
+++ b/node/viewsync.go
@@ -24,6 +24,7 @@
 	server       *Server
 	model        gossip.Model
 	controlHosts atomic.Pointer[[]string] // addresses, readable outside the loop
+	currentHost  atomic.Pointer[string]   // the one that is current, or "", likewise
 	inbox        chan gossip.Msg
 	calls        chan modelCall
 	silent       map[string]bool // control hosts whose last pull failed
@@ -57,8 +58,9 @@
 // publishControlHosts makes the addresses of the control hosts readable outside
 // the loop.
 func (v *viewSync) publishControlHosts() {
-	hosts := v.model.Control()
+	hosts, current := v.model.Control(), v.model.CurrentHost()
 	v.controlHosts.Store(&hosts)
+	v.currentHost.Store(&current)
 }
 
 // controlAddrs returns the addresses of the control hosts.
