Logs: what a stopping node does with its time and with attempts

Nothing told apart why an instance gets no request while its node stops: whether its owner refuses attempts, is no longer listening, or has not heard of it.

--- a/node/backend.go
+++ b/node/backend.go
@@ -77,7 +77,8 @@
 	if !changed {
 		return
 	}
-	s.log.Info("instance announced", slog.String("instance", i.ID), slog.String("service", i.Service), slog.String("addr", i.Addr))
+	s.log.Info("instance announced", slog.String("instance", i.ID), slog.String("service", i.Service), slog.String("addr", i.Addr),
+		slog.Bool("leaving", i.Leaving), slog.Duration("since_start", s.now()))
 	s.heartbeatSoon()
 }
 
--- a/node/listen.go
+++ b/node/listen.go
@@ -117,6 +117,7 @@
 		}
 	}
 	var protocols http.Protocols
+	var conns connStates
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{
@@ -125,6 +126,7 @@
 		ReadHeaderTimeout: _readHeaderTimeout,
 		IdleTimeout:       _idleTimeout,
 		MaxHeaderBytes:    _maxHeaderBytes,
+		ConnState:         conns.track,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
 	done := make(chan error, 1)
@@ -134,7 +136,7 @@
 		return errors.Errorf("serve on %s: %w", addr, err)
 	case <-ctx.Done():
 	}
-	return s.drain(server, l, addr)
+	return s.drain(server, &conns, l, addr)
 }
 
 // stopTimeout returns how long a planned stop may take.
@@ -159,21 +161,3 @@
 		h.ServeHTTP(w, r)
 	})
 }
-
-// drain stops accepting connections after a delay, and then waits for the open ones
-// for up to the stop timeout.
-func (s *Server) drain(server *http.Server, l *net.TCPListener, addr string) error {
-	if err := steerToNewest(l); err != nil {
-		s.log.Warn("cannot steer new connections to the successor", slog.String("addr", addr), slog.Any("error", err))
-	}
-	// Active callers leave with their next response. Closing their connections
-	// immediately would break requests in transit.
-	time.Sleep(min(_closeDelay, s.stopTimeout()/2))
-	s.settleHandshakes(l, addr)
-	ctx, cancel := context.WithTimeout(context.Background(), s.stopTimeout())
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		return errors.Errorf("drain %s: %w", addr, err)
-	}
-	return nil
-}
--- a/node/owner.go
+++ b/node/owner.go
@@ -114,6 +114,10 @@
 
 // notRun replies that the attempt was not run and never will be.
 func (s *Server) notRun(w http.ResponseWriter, reason string) {
+	s.stats.refusedAttempt(reason)
+	if s.stopping.Load() {
+		s.stopCounts.refused.Add(1)
+	}
 	w.Header().Set(_headerExecution, string(retry.NotExecuted))
 	w.Header().Set(HeaderReason, reason)
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -312,6 +316,9 @@
 	s := j.server
 	j.running = true
 	s.stats.started.Inc(1)
+	if s.stopping.Load() {
+		s.stopCounts.started.Add(1)
+	}
 	fingerprint, _ := strconv.ParseUint(j.r.Header.Get(_headerFingerprint), 16, 64)
 	hint, _ := parseHint(j.r.Header.Get(_headerHint))
 	transport, addr, w := s.startWork(j.instance, j.ref, fingerprint, hint.Median,
--- a/node/server.go
+++ b/node/server.go
@@ -79,6 +79,7 @@
 	nestedFailures  nestedFailures
 	calls           origin.Model
 	stopping        atomic.Bool
+	stopCounts      stopCounts
 	stopRequestedAt atomic.Int64 // time since start at which the stop was requested; 0 if running
 	nextTick        time.Duration
 	handoverAt      atomic.Int64 // time since start at which a successor took over; 0 if none did
--- a/node/stats.go
+++ b/node/stats.go
@@ -21,6 +21,7 @@
 	ejections tally.Counter
 	denied    tally.Counter
 	started   tally.Counter
+	scope     tally.Scope
 	rev       tally.Gauge
 	plan      tally.Gauge // version of the plan in force
 
@@ -45,6 +46,7 @@
 		ejections: scope.Counter("ejections"),
 		denied:    scope.Counter("denied"),
 		started:   scope.Counter("started"),
+		scope:     scope,
 		rev:       scope.Gauge("revision"),
 		plan:      scope.Gauge("plan"),
 
@@ -54,3 +56,8 @@
 		work:    scope.Histogram("work_seconds", meter.LatencyBuckets()),
 	}
 }
+
+// refusedAttempt counts an attempt that this owner refused, by reason.
+func (s stats) refusedAttempt(reason string) {
+	s.scope.Tagged(map[string]string{"reason": reason}).Counter("refused_attempts").Inc(1)
+}
