A stopping node serves its instance while there is time

Callers saw: in a rolling restart, requests refused or failed while sound instances stood idle (FLOOR: 3 of 6 sound instances got nothing for 2 s). Cause: an owner refused each attempt from the SIGTERM on, though its process goes on for 3 to 6 s for its own callers.

Package drain now decides what a stopping process still begins.

--- a/node/announce_test.go
+++ b/node/announce_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/damaskpitch/damaskpitch/config"
+	"github.com/damaskpitch/damaskpitch/drain"
 	"github.com/damaskpitch/damaskpitch/spec"
 )
 
@@ -77,7 +78,11 @@
 	s.start = s.start.Add(-time.Hour)
 	for _, c := range cases {
 		s.handoverAt.Store(0)
-		s.stopping.Store(c.stopping)
+		stop := drain.New(drain.Config{Timeout: time.Minute})
+		if c.stopping {
+			stop = stop.Update(drain.StopMsg{At: s.now()})
+		}
+		s.stop.Store(&stop)
 		if c.handover > 0 {
 			s.handoverAt.Store(int64(s.now() - c.handover))
 		}
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -138,7 +138,7 @@
 // chooseInstanceLocked runs the search until it finds an instance, stops or
 // pauses.
 func (e *exchange) chooseInstanceLocked(r route.Request) (route.Choice, probe.Cmd) {
-	if end, stopping := e.server.lastStart(); stopping && r.At >= end {
+	if r.At >= e.server.stop.Load().LastRequest() {
 		return route.Choice{}, probe.StopCmd{}
 	}
 	model, cmd := e.search.WithNoRetry(e.isFinalAttempt()).Update(probe.NextMsg{At: r.At})
--- a/node/backend.go
+++ b/node/backend.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"log/slog"
 	"maps"
 	"net"
@@ -10,6 +9,7 @@
 	"time"
 
 	"github.com/damaskpitch/damaskpitch/detect"
+	"github.com/damaskpitch/damaskpitch/drain"
 	"github.com/damaskpitch/damaskpitch/gate"
 	"github.com/damaskpitch/damaskpitch/ledger"
 	"github.com/damaskpitch/damaskpitch/retry"
@@ -36,6 +36,7 @@
 	ejectedRev     uint64 // view revision from which its ejection shows; 0 if not ejected
 	breaker        trust.Model
 	typicalTime    time.Duration // smoothed time of a request; 0 if unknown
+	durations      drain.Durations
 	probeCountedAt time.Duration // when a probe's result was last counted
 	retryBudget    retry.Budget  // for requests that may have run before
 	inFlight       map[ledger.Ref]*work
@@ -202,14 +203,5 @@
 	for _, id := range slices.Sorted(maps.Keys(s.backends)) {
 		list = append(list, s.backends[id].instance)
 	}
-	return list, s.stopping.Load()
-}
-
-// markStopping waits for the context to end and then marks the node as stopping.
-func (s *Server) markStopping(ctx context.Context) error {
-	<-ctx.Done()
-	s.stopRequestedAt.Store(int64(s.now()))
-	s.stopping.Store(true)
-	s.log.Info("node stopping")
-	return nil
+	return list, s.isStopping()
 }
--- a/node/detect.go
+++ b/node/detect.go
@@ -94,6 +94,7 @@
 	w := b.inFlight[ref]
 	if outcome == workDone {
 		b.typicalTime = smooth(b.typicalTime, w.instanceTime())
+		b.durations = b.durations.With(w.instanceTime())
 		s.recentSuccesses.Add(w.fingerprint, s.now())
 	}
 	delete(b.inFlight, ref)
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -115,7 +115,7 @@
 // do not arrive in time.
 func (s *Server) waitForDeclarations(ctx context.Context) bool {
 	for end := time.Now().Add(_declarationsWait); !s.fleet.hasDeclarations(); {
-		if time.Now().After(end) || s.stopping.Load() || !sleep(ctx, _tickInterval) {
+		if time.Now().After(end) || s.isStopping() || !sleep(ctx, _tickInterval) {
 			return false
 		}
 	}
--- a/node/instance.go
+++ b/node/instance.go
@@ -187,7 +187,7 @@
 // until it stops.
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
 	switch {
-	case s.stopping.Load():
+	case s.isStopping():
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 	case !s.fleet.hasDeclarations():
 		http.Error(w, "nothing is declared yet", http.StatusServiceUnavailable)
--- a/node/listen.go
+++ b/node/listen.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -15,16 +14,8 @@
 )
 
 const (
-	// _defaultStopTimeout is how long a planned stop may take unless the settings
-	// specify another time.
-	_defaultStopTimeout = _drainTimeout
-	// _closeDelay is how long a stopping node accepts connections. Callers that check
-	// its readiness have left by then.
-	_closeDelay = 3 * time.Second
 	// _handshakeTime is how long handshakes that have begun may take to complete.
 	_handshakeTime = 100 * time.Millisecond
-	// _stopMargin is the last part of a planned stop, in which no attempt starts.
-	_stopMargin = 1200 * time.Millisecond
 )
 
 // listen opens a listener with SO_REUSEPORT, so that a successor process can listen on
@@ -138,26 +129,3 @@
 	}
 	return s.drain(server, &conns, l, addr)
 }
-
-// stopTimeout returns how long a planned stop may take.
-func (s *Server) stopTimeout() time.Duration {
-	return cmp.Or(s.cfg.Settings.Stop.Std(), _defaultStopTimeout)
-}
-
-// lastStart returns the last time at which a stopping node starts an attempt, or false
-// if the node is not stopping.
-func (s *Server) lastStart() (time.Duration, bool) {
-	requested := s.stopRequestedAt.Load()
-	return time.Duration(requested) + s.stopTimeout() - _stopMargin, requested > 0
-}
-
-// closeWhenStopping asks callers to close their connections with each response once
-// the node is stopping.
-func (s *Server) closeWhenStopping(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		h.ServeHTTP(w, r)
-	})
-}
--- a/node/local.go
+++ b/node/local.go
@@ -58,7 +58,7 @@
 func (s *Server) rejectAfterHandover(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		handover := s.handoverAt.Load()
-		if handover > 0 && (s.stopping.Load() || s.now() < time.Duration(handover)+_handoverTimeout) {
+		if handover > 0 && (s.isStopping() || s.now() < time.Duration(handover)+_handoverTimeout) {
 			s.log.Info("instance request rejected after handover", slog.String("path", r.URL.Path), slog.Duration("after", s.now()-time.Duration(handover)))
 			w.Header().Set("Connection", "close")
 			http.Error(w, "a successor has taken over; ask again", http.StatusServiceUnavailable)
--- a/node/owner.go
+++ b/node/owner.go
@@ -14,14 +14,11 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/damaskpitch/damaskpitch/gate"
-	"github.com/damaskpitch/damaskpitch/gossip"
 	"github.com/damaskpitch/damaskpitch/ledger"
 	"github.com/damaskpitch/damaskpitch/origin"
 	"github.com/damaskpitch/damaskpitch/probe"
-	"github.com/damaskpitch/damaskpitch/proto"
 	"github.com/damaskpitch/damaskpitch/retry"
 	"github.com/damaskpitch/damaskpitch/trust"
-	"github.com/damaskpitch/damaskpitch/wire"
 )
 
 const (
@@ -33,42 +30,6 @@
 	_maxQueueShare = 0.7
 )
 
-// peerHandler returns the handler for attempts and RPCs from other nodes and control
-// hosts.
-func (s *Server) peerHandler() http.Handler {
-	rpc := wire.Serve(s.cfg.Settings.Key, proto.Codec, s.handle)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(_headerAttempt) == "" {
-			rpc.ServeHTTP(w, r)
-			return
-		}
-		s.serveAttempt(w, r)
-	})
-}
-
-func (s *Server) handle(ctx context.Context, msg any) (any, error) {
-	switch msg := msg.(type) {
-	case proto.AttemptQuery:
-		return s.attemptStatus(msg), nil
-	case proto.RelayQuery:
-		return s.queryOwner(ctx, msg.Addr, msg.Query)
-	case proto.Pull:
-		var delta proto.Delta
-		if !s.viewSync.withModel(ctx, func(m gossip.Model) { delta = m.HandlePull(msg) }) {
-			return nil, ctx.Err()
-		}
-		return delta, nil
-	case proto.Probe:
-		_, err := s.call(ctx, msg.Addr, proto.Hello{})
-		return proto.ProbeReply{Reached: err == nil}, nil
-	case proto.Hello:
-		return proto.HelloReply{Name: s.cfg.Settings.Name, ID: s.epoch.Load()}, nil
-	case proto.TakeOver:
-		return s.handOver(ctx)
-	}
-	return nil, errors.Newf("unexpected message %T", msg)
-}
-
 // serveAttempt handles an attempt from an ingress: it runs the attempt at an instance,
 // or guarantees that the attempt never runs.
 func (s *Server) serveAttempt(w http.ResponseWriter, r *http.Request) {
@@ -98,11 +59,13 @@
 	if rate := r.Header.Get(_headerMaxRate); rate != "" {
 		s.adoptMaxRate(r.Header.Get(_headerInstance), rate)
 	}
-	if s.stopping.Load() && s.cfg.Settings.Stop > 0 {
+	instance := r.Header.Get(_headerInstance)
+	lastStart := s.lastStart(instance)
+	if s.now() >= lastStart {
 		s.notRun(w, _reasonStop)
 		return
 	}
-	job := &job{server: s, w: w, r: r, ref: ref, instance: r.Header.Get(_headerInstance), timeLeft: timeLeft, deadline: time.Now().Add(timeLeft)}
+	job := &job{server: s, w: w, r: r, ref: ref, instance: instance, timeLeft: timeLeft, deadline: time.Now().Add(timeLeft), lastStart: lastStart}
 	job.serve()
 }
 
@@ -115,7 +78,7 @@
 // notRun replies that the attempt was not run and never will be.
 func (s *Server) notRun(w http.ResponseWriter, reason string) {
 	s.stats.refusedAttempt(reason)
-	if s.stopping.Load() {
+	if s.isStopping() {
 		s.stopCounts.refused.Add(1)
 	}
 	w.Header().Set(_headerExecution, string(retry.NotExecuted))
@@ -132,7 +95,9 @@
 	instance string
 	timeLeft time.Duration
 	deadline time.Time // the caller's deadline
-	running  bool      // holds a slot, which is free once the response has been sent
+	// lastStart is when the attempt may start at last if this node stops, as far as known.
+	lastStart time.Duration
+	running   bool // holds a slot, which is free once the response has been sent
 }
 
 func (j *job) serve() {
@@ -278,7 +243,7 @@
 		Ref:         j.ref,
 		Caller:      j.fairShareKey(),
 		At:          s.now(),
-		StartBy:     s.now() + j.maxWait(),
+		StartBy:     min(s.now()+j.maxWait(), j.lastStart),
 		LatestStart: s.now() + j.waitLeft(),
 		NoQueue:     j.onlyIfFree(),
 		Priority:    j.headerInt(_headerPriority),
@@ -316,7 +281,7 @@
 	s := j.server
 	j.running = true
 	s.stats.started.Inc(1)
-	if s.stopping.Load() {
+	if s.isStopping() {
 		s.stopCounts.started.Add(1)
 	}
 	fingerprint, _ := strconv.ParseUint(j.r.Header.Get(_headerFingerprint), 16, 64)
--- a/node/server.go
+++ b/node/server.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/damaskpitch/damaskpitch/config"
+	"github.com/damaskpitch/damaskpitch/drain"
 	"github.com/damaskpitch/damaskpitch/gate"
 	"github.com/damaskpitch/damaskpitch/ledger"
 	"github.com/damaskpitch/damaskpitch/meter"
@@ -35,7 +36,6 @@
 	// _maxHeaderBytes is the maximum size of a request's header, and of a response's
 	// with the interim responses before it.
 	_maxHeaderBytes = 64 << 10
-	_drainTimeout   = 90 * time.Second
 )
 
 // Config configures a node.
@@ -78,9 +78,9 @@
 	recentSuccesses *poison.RecentSuccesses
 	nestedFailures  nestedFailures
 	calls           origin.Model
-	stopping        atomic.Bool
+	stop            atomic.Pointer[drain.Model]
+	stopOnce        sync.Once
 	stopCounts      stopCounts
-	stopRequestedAt atomic.Int64 // time since start at which the stop was requested; 0 if running
 	nextTick        time.Duration
 	handoverAt      atomic.Int64 // time since start at which a successor took over; 0 if none did
 
@@ -111,6 +111,8 @@
 		unreachable:     map[string]bool{},
 		recentSuccesses: poison.NewRecentSuccesses(),
 	}
+	stop := drain.New(drain.Config{Timeout: s.stopTimeout(), Successor: cfg.Settings.Stop == 0})
+	s.stop.Store(&stop)
 	s.stats = newStats(s.meter.Scope)
 	s.epoch.Store(uint64(s.start.UnixMilli()))
 	s.fleet = newFleet(cfg.Settings.Center)
--- a/node/drain.go
+++ b/node/stop.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -10,8 +11,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/damaskpitch/damaskpitch/drain"
 )
 
+// _defaultStopTimeout is how long a planned stop may take unless the settings specify
+// another time.
+const _defaultStopTimeout = 90 * time.Second
+
 // stopCounts counts the attempts that reach a stopping owner.
 type stopCounts struct {
 	started atomic.Int64
@@ -61,26 +68,75 @@
 	return slog.Group("connections", slog.Int("unused", unused), slog.Int("active", active), slog.Int("idle", idle))
 }
 
-// sinceStop returns the time since the node was told to stop.
-func (s *Server) sinceStop() time.Duration {
-	return s.now() - time.Duration(s.stopRequestedAt.Load())
+// stopTimeout returns how long a planned stop may take.
+func (s *Server) stopTimeout() time.Duration {
+	return cmp.Or(s.cfg.Settings.Stop.Std(), _defaultStopTimeout)
+}
+
+// isStopping reports whether the node has been told to stop.
+func (s *Server) isStopping() bool {
+	return s.stop.Load().Stopping()
+}
+
+// markStopping waits for the context to end and then marks the node as stopping.
+func (s *Server) markStopping(ctx context.Context) error {
+	<-ctx.Done()
+	s.beginStop()
+	return nil
+}
+
+// beginStop marks the node as stopping, unless it is, and returns the state of its stop.
+func (s *Server) beginStop() drain.Model {
+	s.stopOnce.Do(func() {
+		stop := s.stop.Load().Update(drain.StopMsg{At: s.now()})
+		s.stop.Store(&stop)
+		s.log.Info("node stopping")
+	})
+	return *s.stop.Load()
+}
+
+// lastStart returns when the last attempt may start at an instance on this host.
+func (s *Server) lastStart(id string) time.Duration {
+	stop := s.stop.Load()
+	if !stop.Stopping() {
+		return drain.Never
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var durations drain.Durations
+	if b := s.backends[id]; b != nil {
+		durations = b.durations
+	}
+	return stop.LastStart(durations.Long())
+}
+
+// closeWhenStopping asks callers to close their connections with each response once
+// the node is stopping.
+func (s *Server) closeWhenStopping(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isStopping() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 // drain stops accepting connections after a delay, and then waits for the open ones
-// for up to the stop timeout.
+// until the stop must end.
 func (s *Server) drain(server *http.Server, conns *connStates, l *net.TCPListener, addr string) error {
 	if err := steerToNewest(l); err != nil {
 		s.log.Warn("cannot steer new connections to the successor", slog.String("addr", addr), slog.Any("error", err))
 	}
+	stop := s.beginStop()
 	// Active callers leave with their next response. Closing their connections
 	// immediately would break requests in transit.
-	time.Sleep(min(_closeDelay, s.stopTimeout()/2))
+	time.Sleep(stop.CloseAt() - s.now())
 	s.settleHandshakes(l, addr)
-	s.log.Info("listener closes", slog.String("addr", addr), slog.Duration("after", s.sinceStop()), conns.logValues(), s.stopCounts.logValues())
-	ctx, cancel := context.WithTimeout(context.Background(), s.stopTimeout())
+	s.log.Info("listener closes", slog.String("addr", addr), slog.Duration("after", stop.Since(s.now())), conns.logValues(), s.stopCounts.logValues())
+	ctx, cancel := context.WithTimeout(context.Background(), stop.End()-s.now())
 	defer cancel()
 	err := server.Shutdown(ctx)
-	s.log.Info("listener drained", slog.String("addr", addr), slog.Duration("after", s.sinceStop()), conns.logValues(), s.stopCounts.logValues())
+	s.log.Info("listener drained", slog.String("addr", addr), slog.Duration("after", stop.Since(s.now())), conns.logValues(), s.stopCounts.logValues())
 	if err != nil {
 		return errors.Errorf("drain %s: %w", addr, err)
 	}
