A stopping node begins no request in the second half of its stop

Callers saw (a report of another operator): requests that came late in the grace of a planned stop were taken and passed on, and cut without a response at its end, among them some that must not be repeated. Cause: attempts could start until 1.2 s before the end, and a stop could take 3 s more than its timeout, by when the host had killed the process.

The last attempt to serve a request now begins at half of the stop; later ones are told at once that they have not run.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -11,10 +11,9 @@
 	_closeDelay = 3 * time.Second
 	// _closeShare is the share of the stop for which it accepts connections at most.
 	_closeShare = 0.5
-	// _startShare is the share of the stop in which attempts of other processes may start.
+	// _startShare is the share of the stop in which requests may begin. Those that take
+	// longer than the rest of it are cut when it ends.
 	_startShare = 0.5
-	// _margin is the last part of a stop, in which no attempt starts.
-	_margin = 1200 * time.Millisecond
 	// _unknownShare is the share of the stop in which work of unknown duration may begin
 	// that could also be done elsewhere.
 	_unknownShare = 1.0 / 6
@@ -85,7 +84,7 @@
 
 // LastRequest returns when the last attempt to serve a caller's request may begin.
 func (m Model) LastRequest() time.Duration {
-	return m.after(m.cfg.Timeout - _margin)
+	return m.after(m.share(_startShare))
 }
 
 // LastStart returns when the last attempt of another process may start here, given how
@@ -98,7 +97,7 @@
 	if long == 0 {
 		return m.after(m.share(_unknownShare))
 	}
-	return m.after(min(m.share(_startShare), m.cfg.Timeout-long))
+	return min(m.LastRequest(), m.after(m.cfg.Timeout-long))
 }
 
 // after returns the time at which d has passed since the process was told to stop.
