A planned stop does not wait for connections that nobody uses

Cause: net/http's Shutdown waits up to five seconds for a connection without a request, such as the spare ones that peers' transports open, and then looks twice a second whether it is done.

What comes on such a connection is dropped once the server shuts down, so they are closed at that moment, and the stop ends with the last connection.

--- a/node/listen.go
+++ b/node/listen.go
@@ -108,7 +108,7 @@
 		}
 	}
 	var protocols http.Protocols
-	var conns connStates
+	conns := newConnStates()
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{
@@ -127,5 +127,5 @@
 		return errors.Errorf("serve on %s: %w", addr, err)
 	case <-ctx.Done():
 	}
-	return s.drain(server, &conns, l, addr)
+	return s.drain(server, conns, l, addr)
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -34,6 +34,15 @@
 type connStates struct {
 	mu     sync.Mutex
 	states map[net.Conn]http.ConnState
+	// closing says that the server takes no more requests, and done is closed once it has
+	// no connections left.
+	closing bool
+	done    chan struct{}
+}
+
+// newConnStates returns the states of a server without connections.
+func newConnStates() *connStates {
+	return &connStates{states: map[net.Conn]http.ConnState{}, done: make(chan struct{})}
 }
 
 // track records the state of a connection; it has the signature of http.Server.ConnState.
@@ -42,12 +51,39 @@
 	defer c.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
 		delete(c.states, conn)
+		c.checkDoneLocked()
 		return
 	}
-	if c.states == nil {
-		c.states = map[net.Conn]http.ConnState{}
-	}
 	c.states[conn] = state
+	if c.closing && state == http.StateNew {
+		_ = conn.Close()
+	}
+}
+
+// closeUnused closes the connections on which no request has come, now and from now on.
+// net/http waits some seconds for them, though it drops what comes on them once it is
+// shutting down.
+func (c *connStates) closeUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	for conn, state := range c.states {
+		if state == http.StateNew {
+			_ = conn.Close()
+		}
+	}
+	c.checkDoneLocked()
+}
+
+func (c *connStates) checkDoneLocked() {
+	if !c.closing || len(c.states) > 0 {
+		return
+	}
+	select {
+	case <-c.done:
+	default:
+		close(c.done)
+	}
 }
 
 // logValues returns the number of connections by state as attributes of a log line.
@@ -133,12 +169,27 @@
 	time.Sleep(stop.CloseAt() - s.now())
 	s.settleHandshakes(l, addr)
 	s.log.Info("listener closes", slog.String("addr", addr), slog.Duration("after", stop.Since(s.now())), conns.logValues(), s.stopCounts.logValues())
-	ctx, cancel := context.WithTimeout(context.Background(), stop.End()-s.now())
-	defer cancel()
-	err := server.Shutdown(ctx)
+	err := shutdown(server, conns, stop.End()-s.now())
 	s.log.Info("listener drained", slog.String("addr", addr), slog.Duration("after", stop.Since(s.now())), conns.logValues(), s.stopCounts.logValues())
 	if err != nil {
 		return errors.Errorf("drain %s: %w", addr, err)
 	}
 	return nil
 }
+
+// shutdown closes a server's listener and unused connections, and waits for the others
+// until the timeout.
+func shutdown(server *http.Server, conns *connStates, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	// Callbacks run once the server takes no more requests.
+	server.RegisterOnShutdown(conns.closeUnused)
+	failed := make(chan error, 1)
+	go func() { failed <- server.Shutdown(ctx) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-conns.done:
+		return nil
+	}
+}
