--- a/raft/cluster_test.go
+++ b/raft/cluster_test.go
@@ -14,6 +14,7 @@
 	now          time.Duration
 	replicas     map[uint64]*testReplica
 	queue        []message
+	stalled      map[uint64][]Msg // by ID: what waits for a replica whose disk is stalled
 	blocked      map[[2]uint64]bool
 	applied      []Entry           // the longest log that any replica has applied
 	leaders      map[uint64]uint64 // by term
@@ -24,6 +25,9 @@
 	violation    error
 }
 
+// _maxWaiting is how many messages wait for a stalled replica; more are lost.
+const _maxWaiting = 4096
+
 type message struct {
 	from, to uint64
 	lineage  uint64
@@ -44,6 +48,7 @@
 		rng:      rand.New(rand.NewPCG(seed, 7)),
 		replicas: map[uint64]*testReplica{},
 		blocked:  map[[2]uint64]bool{},
+		stalled:  map[uint64][]Msg{},
 		leaders:  map[uint64]uint64{},
 		reads:    map[uint64]uint64{},
 	}
@@ -75,6 +80,12 @@
 	if r == nil || r.down {
 		return
 	}
+	if waiting, stalled := c.stalled[id]; stalled {
+		if _, tick := msg.(TickMsg); !tick && len(waiting) < _maxWaiting {
+			c.stalled[id] = append(waiting, msg)
+		}
+		return
+	}
 	model, cmds := r.model.Update(msg)
 	r.model = model
 	for _, cmd := range cmds {
@@ -173,6 +184,21 @@
 	c.update(msg.to, ReceiveMsg{From: msg.from, Lineage: msg.lineage, Body: msg.body})
 }
 
+// stall keeps a replica waiting for its disk; what comes meanwhile waits too.
+func (c *testCluster) stall(id uint64) {
+	c.stalled[id] = []Msg{}
+}
+
+// resume lets a stalled replica handle what has come meanwhile.
+func (c *testCluster) resume(id uint64) {
+	waiting := c.stalled[id]
+	delete(c.stalled, id)
+	for _, msg := range waiting {
+		c.update(id, msg)
+		c.update(id, TickMsg{At: c.now - c.replicas[id].startedAt})
+	}
+}
+
 // runFor advances the clock by d and delivers the queued messages.
 func (c *testCluster) runFor(d time.Duration) {
 	for range d / (10 * time.Millisecond) {
