State of any size reaches a node behind a narrow link

Cause: a pull had 0.4 s for its whole reply, and a search asked up to five control hosts for the whole state at once, over one link; each attempt began anew.

A pull now ends by silence, not by size: its reply must begin in time, and each part keeps it alive. A search asks hosts for their revisions alone, and the state comes from one of them; where none is current, from the one that has most. Peers are left alone meanwhile, and a poll whose reply is arriving is not overdue.

--- a/ctrl/rpc.go
+++ b/ctrl/rpc.go
@@ -228,7 +228,7 @@
 	s.replica.Read(func(m store.Model) {
 		v := m.View()
 		delta = proto.Delta{Cluster: v.Cluster, From: msg.Rev, Rev: v.Rev, Control: control, Current: s.replica.InTouch()}
-		if msg.Cluster != 0 && msg.Cluster != v.Cluster {
+		if msg.Head || msg.Cluster != 0 && msg.Cluster != v.Cluster {
 			return
 		}
 		events, ok := m.Since(msg.Rev)
--- a/gossip/delay_test.go
+++ b/gossip/delay_test.go
@@ -134,7 +134,7 @@
 	case state == _isolated && !waited:
 		return nil
 	case state == _isolated:
-		return DeltaMsg{At: f.now, Source: Control, Addr: pull.Addr, Delta: deltaSince(f.old, pull.Pull.Rev)}
+		return DeltaMsg{At: f.now, Source: Control, Addr: pull.Addr, Delta: withoutChanges(pull.Pull, deltaSince(f.old, pull.Pull.Rev))}
 	case f.known <= pull.Pull.Rev && !waited:
 		return nil
 	}
@@ -143,7 +143,16 @@
 		d = deltaSince(f.current, pull.Pull.Rev)
 		d.Current = true
 	}
-	return DeltaMsg{At: f.now, Source: Control, Addr: pull.Addr, Delta: d}
+	return DeltaMsg{At: f.now, Source: Control, Addr: pull.Addr, Delta: withoutChanges(pull.Pull, d)}
+}
+
+// withoutChanges returns the reply to a pull, which holds no changes if the pull asks for
+// the revision alone.
+func withoutChanges(p proto.Pull, d proto.Delta) proto.Delta {
+	if p.Head {
+		d.Events, d.Snapshot = nil, nil
+	}
+	return d
 }
 
 // behind returns the nodes that lack a revision.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -51,6 +51,8 @@
 	hosts        map[string]hostState // by address of a control host
 	pollAddr     string               // the control host that is polled, or ""
 	polledAt     time.Duration
+	progressAt   time.Duration // when part of the reply to the poll last arrived
+	fetchAddr    string        // the control host whose changes are pulled in a search, or ""
 	searchAt     time.Duration // when to ask the next host of a search
 	searches     int           // pulls of the current search
 	currentHost  string        // the control host to poll, or "" while none is current
@@ -95,6 +97,8 @@
 		return m.handleDelta(msg)
 	case LocalInstancesMsg:
 		return m.addLocal(msg)
+	case PullProgressMsg:
+		return m.handleProgress(msg), nil
 	case PullFailedMsg:
 		return m.handleFailure(msg), nil
 	}
@@ -107,7 +111,7 @@
 	if p.Cluster == 0 || p.Cluster == m.view.Cluster {
 		d.Rumors = m.rumorsToSend(p.Rev == 0)
 	}
-	if p.Rev >= m.view.Rev || p.Cluster != 0 && p.Cluster != m.view.Cluster {
+	if p.Head || p.Rev >= m.view.Rev || p.Cluster != 0 && p.Cluster != m.view.Cluster {
 		return d
 	}
 	if events, ok := m.history.Since(p.Rev); ok {
@@ -139,12 +143,13 @@
 	return m, cmds
 }
 
-// gossipAt returns when to pull from a peer again.
+// gossipAt returns when to pull from a peer again. A large reply of a control host gets the
+// node's link for itself.
 func (m Model) gossipAt() time.Duration {
 	if m.gossipedAt == 0 {
 		return 0
 	}
-	if m.at < m.currentUntil {
+	if m.at < m.currentUntil || m.isReceiving() {
 		return m.gossipedAt + _calmGossipInterval
 	}
 	return m.gossipedAt + m.cfg.GossipInterval
@@ -174,6 +179,13 @@
 	return proto.Pull{Node: m.cfg.Node, Cluster: m.view.Cluster, Rev: m.view.Rev, Wait: wait}
 }
 
+// head returns a pull that asks for the revision alone.
+func (m Model) head() proto.Pull {
+	pull := m.pull(0)
+	pull.Head = true
+	return pull
+}
+
 // gossipPeer returns the address of a random member, or of a random seed while no
 // other member is known.
 func (m Model) gossipPeer() string {
@@ -209,6 +221,15 @@
 	return drawn
 }
 
+// handleProgress keeps the poll from being overdue while its reply arrives.
+func (m Model) handleProgress(msg PullProgressMsg) Model {
+	m.at = msg.At
+	if msg.Source == Control && msg.Addr == m.pollAddr {
+		m.progressAt = msg.At
+	}
+	return m
+}
+
 func (m Model) handleFailure(msg PullFailedMsg) Model {
 	if msg.Source == Peer {
 		m.gossiping = false
@@ -277,6 +298,7 @@
 	}
 	m.at = msg.At
 	m.pullEnded(msg.Addr)
+	m.setRev(msg.Addr, msg.Delta)
 	m.replied(msg.Addr, msg.Delta.Current && msg.Delta.Rev >= m.view.Rev)
 	return m, cmds
 }
--- a/gossip/hosts.go
+++ b/gossip/hosts.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/damaskpitch/damaskpitch/proto"
 )
 
 const (
@@ -16,6 +18,8 @@
 	// _slowSearchInterval is the time between pulls once every control host was asked
 	// in vain.
 	_slowSearchInterval = 500 * time.Millisecond
+	// _maxSilence is how long the rest of a reply may take to go on arriving.
+	_maxSilence = time.Second
 	// _rotateInterval is the time between pulls from other hosts than the polled one,
 	// so that no single host is relied on.
 	_rotateInterval = 5 * time.Second
@@ -26,13 +30,16 @@
 // hostState is what a node knows of a control host.
 type hostState struct {
 	pulling      bool          // a pull is pending
+	rev          uint64        // the latest revision that it is known to have
 	suspectUntil time.Duration // after a failure or a reply that was not current
 }
 
 // pollControl polls the control host that has lately said that it is current. While there
-// is none, or the reply to a poll is overdue, it searches: it asks the other hosts one
-// after another, without waiting for their replies. A host is polled only after such a
-// reply, so that a change is never held up by more than one host.
+// is none, or the reply to a poll is overdue, it searches: it asks the other hosts for
+// their revisions one after another, without waiting for their replies. A host is polled
+// only after such a reply, so that a change is never held up by more than one host.
+// Changes come from one host at a time, however large they are, since all replies share
+// the link of this node.
 func (m *Model) pollControl() []Cmd {
 	if len(m.control) == 0 {
 		return nil
@@ -44,15 +51,25 @@
 	case m.currentHost == "":
 		return m.search()
 	case m.pollAddr == "" && !m.hosts[m.currentHost].pulling:
-		m.pollAddr, m.polledAt = m.currentHost, m.at
-		return m.pullFrom(m.currentHost, m.cfg.PollTimeout, false)
+		m.pollAddr, m.polledAt, m.progressAt = m.currentHost, m.at, 0
+		return m.pullFrom(m.currentHost, m.pull(m.cfg.PollTimeout), false)
 	}
 	return m.rotate()
 }
 
-// pollOverdueAt returns when the reply to the current poll is overdue.
+// pollOverdueAt returns when the reply to the current poll is overdue. It isn't while parts
+// of it arrive.
 func (m *Model) pollOverdueAt() time.Duration {
-	return m.polledAt + m.cfg.PollTimeout + _overdueMargin
+	overdue := m.polledAt + m.cfg.PollTimeout + _overdueMargin
+	if m.progressAt == 0 {
+		return overdue
+	}
+	return max(overdue, m.progressAt+_maxSilence)
+}
+
+// isReceiving reports whether a large reply of a control host is arriving.
+func (m *Model) isReceiving() bool {
+	return m.fetchAddr != "" || m.pollAddr != "" && m.progressAt > 0
 }
 
 // search asks the next control host that has no pending pull, suspected ones last. Its
@@ -73,7 +90,36 @@
 	if m.searches > len(m.control) {
 		m.searchAt = m.at + _slowSearchInterval
 	}
-	return m.pullFrom(addr, 0, true)
+	if m.fetchAddr == "" && m.searches > len(m.control) {
+		if newest := m.newestHost(); newest != "" {
+			// None of them is current, but this one has changes.
+			m.fetchAddr = newest
+			return m.pullFrom(newest, m.pull(0), true)
+		}
+	}
+	return m.pullFrom(addr, m.head(), true)
+}
+
+// newestHost returns the host without a pending pull that has the latest revision, if that
+// is later than this node's; otherwise "".
+func (m *Model) newestHost() string {
+	newest, rev := "", m.view.Rev
+	for _, addr := range m.control {
+		if h := m.hosts[addr]; !h.pulling && h.rev > rev {
+			newest, rev = addr, h.rev
+		}
+	}
+	return newest
+}
+
+// setRev records the revision that a control host has.
+func (m *Model) setRev(addr string, d proto.Delta) {
+	h := m.hosts[addr]
+	h.rev = 0
+	if d.Cluster == m.view.Cluster || m.view.Cluster == 0 {
+		h.rev = d.Rev
+	}
+	m.hosts[addr] = h
 }
 
 // rotate asks another control host from time to time. If that one is current, it is
@@ -87,14 +133,17 @@
 	if addr == "" || addr == m.currentHost {
 		return nil
 	}
-	return m.pullFrom(addr, 0, false)
+	if m.isReceiving() || m.hosts[m.currentHost].rev > m.view.Rev {
+		return m.pullFrom(addr, m.head(), false)
+	}
+	return m.pullFrom(addr, m.pull(0), false)
 }
 
-func (m *Model) pullFrom(addr string, wait time.Duration, newConn bool) []Cmd {
+func (m *Model) pullFrom(addr string, pull proto.Pull, newConn bool) []Cmd {
 	h := m.hosts[addr]
 	h.pulling = true
 	m.hosts[addr] = h
-	return []Cmd{PullCmd{Source: Control, Addr: addr, Pull: m.pull(wait), NewConn: newConn}}
+	return []Cmd{PullCmd{Source: Control, Addr: addr, Pull: pull, NewConn: newConn}}
 }
 
 // nextHost returns the first control host after the current index that satisfies the
@@ -144,6 +193,9 @@
 	h := m.hosts[addr]
 	h.pulling = false
 	m.hosts[addr] = h
+	if addr == m.fetchAddr {
+		m.fetchAddr = ""
+	}
 }
 
 // replied records whether a control host is current.
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -47,6 +47,13 @@
 	Instances []view.Instance
 }
 
+// PullProgressMsg reports that another part of the reply to a pull has arrived.
+type PullProgressMsg struct {
+	At     time.Duration
+	Source Source
+	Addr   string
+}
+
 // PullFailedMsg reports that a pull failed.
 type PullFailedMsg struct {
 	At     time.Duration
@@ -56,6 +63,7 @@
 
 func (TickMsg) gossipMsg()           {}
 func (DeltaMsg) gossipMsg()          {}
+func (PullProgressMsg) gossipMsg()   {}
 func (PullFailedMsg) gossipMsg()     {}
 func (LocalInstancesMsg) gossipMsg() {}
 
--- a/node/viewsync.go
+++ b/node/viewsync.go
@@ -9,11 +9,19 @@
 	"github.com/damaskpitch/damaskpitch/gossip"
 	"github.com/damaskpitch/damaskpitch/proto"
 	"github.com/damaskpitch/damaskpitch/view"
+	"github.com/damaskpitch/damaskpitch/wire"
 )
 
-// _pullMargin is how long the reply to a pull may take beyond the requested wait
-// before another source is asked. A round trip takes a few milliseconds.
-const _pullMargin = 400 * time.Millisecond
+const (
+	// _pullMargin is how long the reply to a pull may take beyond the requested wait to
+	// begin before another source is asked. A round trip takes a few milliseconds.
+	_pullMargin = 400 * time.Millisecond
+	// _pullSilence is how long the rest of a reply may take to go on arriving. A lost
+	// packet is sent again within that time.
+	_pullSilence = time.Second
+	// _progressInterval is the time between two reports of progress to the model.
+	_progressInterval = 100 * time.Millisecond
+)
 
 // _minTickDelay is the shortest time between two ticks of the gossip model.
 const _minTickDelay = 5 * time.Millisecond
@@ -130,17 +138,34 @@
 }
 
 func (v *viewSync) pull(ctx context.Context, cmd gossip.PullCmd) {
-	callCtx, cancel := context.WithTimeout(ctx, cmd.Pull.Wait+_pullMargin)
+	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	call := v.server.client.Call
-	if cmd.NewConn {
-		call = v.server.client.CallNewConn
-	}
-	reply, err := call(callCtx, cmd.Addr, cmd.Pull)
+	silence := time.AfterFunc(cmd.Pull.Wait+_pullMargin, cancel)
+	defer silence.Stop()
+	var progressAt time.Duration
+	reply, err := v.server.client.CallWith(callCtx, cmd.Addr, cmd.Pull, wire.CallOptions{
+		NewConn: cmd.NewConn,
+		OnProgress: func() {
+			silence.Reset(_pullSilence)
+			now := v.server.now()
+			if progressAt > 0 && now < progressAt+_progressInterval {
+				return
+			}
+			if progressAt > 0 {
+				v.report(ctx, gossip.PullProgressMsg{At: now, Source: cmd.Source, Addr: cmd.Addr})
+			}
+			progressAt = now
+		},
+	})
 	var msg gossip.Msg = gossip.PullFailedMsg{At: v.server.now(), Source: cmd.Source, Addr: cmd.Addr}
 	if delta, ok := reply.(proto.Delta); ok && err == nil {
 		msg = gossip.DeltaMsg{At: v.server.now(), Source: cmd.Source, Addr: cmd.Addr, Delta: delta}
 	}
+	v.report(ctx, msg)
+}
+
+// report passes a message to the loop.
+func (v *viewSync) report(ctx context.Context, msg gossip.Msg) {
 	select {
 	case v.inbox <- msg:
 	case <-ctx.Done():
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -13,12 +13,14 @@
 )
 
 // Pull requests the changes after revision Rev. If there are none yet, the
-// receiver waits for up to Wait before it replies.
+// receiver waits for up to Wait before it replies. Head asks for the revision alone, which
+// tells whether there are changes to pull.
 type Pull struct {
 	Node    string        `json:"node,omitempty"`
 	Cluster uint64        `json:"cluster,omitempty"`
 	Rev     uint64        `json:"rev"`
 	Wait    time.Duration `json:"wait,omitempty"`
+	Head    bool          `json:"head,omitempty"`
 }
 
 // Delta is the reply to Pull: the events after From, or a full snapshot.
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -79,6 +80,23 @@
 	return c.call(ctx, keyedClient{key: c.key, http: c.noKeepAlive}, addr, msg)
 }
 
+// CallOptions changes how a message is sent.
+type CallOptions struct {
+	// NewConn uses a new connection and closes it afterwards.
+	NewConn bool
+	// OnProgress, if set, is called whenever part of the reply has arrived.
+	OnProgress func()
+}
+
+// CallWith is like Call, with options.
+func (c *Client) CallWith(ctx context.Context, addr string, msg any, options CallOptions) (any, error) {
+	client := keyedClient{key: c.key, http: c.http, onProgress: options.OnProgress}
+	if options.NewConn {
+		client.http = c.noKeepAlive
+	}
+	return c.call(ctx, client, addr, msg)
+}
+
 func (c *Client) call(ctx context.Context, client keyedClient, addr string, msg any) (any, error) {
 	frame, err := c.codec.Frame(msg)
 	if err != nil {
@@ -102,14 +120,34 @@
 
 // keyedClient is an HTTP client that adds the key to each request.
 type keyedClient struct {
-	key  string
-	http *http.Client
+	key        string
+	http       *http.Client
+	onProgress func()
 }
 
 // Do adds the key to the request and sends it.
 func (c keyedClient) Do(r *http.Request) (*http.Response, error) {
 	SetKey(r, c.key)
-	return c.http.Do(r)
+	response, err := c.http.Do(r)
+	if err == nil && c.onProgress != nil {
+		response.Body = progressBody{ReadCloser: response.Body, onProgress: c.onProgress}
+	}
+	return response, err
+}
+
+// progressBody is a response body that reports each part that is read.
+type progressBody struct {
+	io.ReadCloser
+	onProgress func()
+}
+
+// Read reads from the body and reports that part of it has arrived.
+func (b progressBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.onProgress()
+	}
+	return n, err
 }
 
 // Handler returns the reply to a message.
