An entry of the log cannot end a control host

Cause: the codec encodes any string and decodes only UTF-8, and a replica stopped at an entry that it could not decode.

A command is decoded before it is proposed, and refused (400) if that fails, at any host; what is in a log already is counted, logged and skipped by each replica alike. Callers' idempotency keys that are not UTF-8 are refused at once (400): they failed after 3 s, when no control host could read the claim.

--- a/ctrl/api.go
+++ b/ctrl/api.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
@@ -111,6 +112,10 @@
 }
 
 func (s *Server) write(w http.ResponseWriter, r *http.Request, c store.Command) {
+	if _, err := encodeEntry(store.Entry{Command: c}); err != nil {
+		s.writeFailure(w, err)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), _apiTimeout)
 	defer cancel()
 	if !s.fleet.ready() {
@@ -153,6 +158,10 @@
 // writeFailure responds with 503 if the write certainly had no effect, and with 504
 // if its outcome is unknown.
 func (s *Server) writeFailure(w http.ResponseWriter, err error) {
+	if errors.Is(err, ErrInvalidCommand) {
+		writeProblem(w, http.StatusBadRequest, Problem{Code: "invalid", Message: err.Error()})
+		return
+	}
 	if hadNoEffect(err) {
 		writeUnavailable(w, err)
 		return
@@ -180,9 +189,9 @@
 }
 
 func parseMatch(w http.ResponseWriter, r *http.Request) (int64, bool) {
-	if len(r.Header.Get("Request-Id")) > _maxRequestID {
+	if id := r.Header.Get("Request-Id"); len(id) > _maxRequestID || !utf8.ValidString(id) {
 		writeProblem(w, http.StatusBadRequest, Problem{
-			Code: "invalid", Field: "Request-Id", Message: "128 bytes at most",
+			Code: "invalid", Field: "Request-Id", Message: "128 bytes of UTF-8 at most",
 		})
 		return 0, false
 	}
--- a/ctrl/group.go
+++ b/ctrl/group.go
@@ -38,9 +38,11 @@
 		Disk:   s.disk,
 		Send:   func(to raft.Peer, envelope raft.Envelope) { s.outbox.send(s.addrOf(to), envelope) },
 		Logger: s.log,
-		Start:  s.start,
-		Store:  stored,
-		Raft:   cfg,
+
+		OnSkippedEntry: func() { s.stats.skipped.Inc(1) },
+		Start:          s.start,
+		Store:          stored,
+		Raft:           cfg,
 	}
 	if id == place.FleetGroup {
 		rc.OnLeaderChange = s.signalLeaderChange
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -38,7 +38,7 @@
 }
 
 func (r *Replica) propose(list []raft.Proposal, c command) []raft.Proposal {
-	data, err := store.Codec.Encode(store.Entry{At: r.logTime(), Command: c.command})
+	data, err := encodeEntry(store.Entry{At: r.logTime(), Command: c.command})
 	if err != nil {
 		c.reply <- outcome{err: err}
 		return list
@@ -46,6 +46,31 @@
 	return append(list, raft.Proposal{ID: r.register(c.reply), Data: data})
 }
 
+// encodeEntry returns the encoding of an entry. Text that is not UTF-8 can be encoded, but
+// not decoded again.
+func encodeEntry(e store.Entry) ([]byte, error) {
+	data, err := store.Codec.Encode(e)
+	if err == nil {
+		_, err = decodeEntry(data)
+	}
+	if err != nil {
+		return nil, errors.Mark(err, ErrInvalidCommand)
+	}
+	return data, nil
+}
+
+func decodeEntry(data []byte) (store.Entry, error) {
+	msg, err := store.Codec.Decode(data)
+	if err != nil {
+		return store.Entry{}, err
+	}
+	entry, ok := msg.(store.Entry)
+	if !ok {
+		return store.Entry{}, errors.Newf("unexpected %T in the log", msg)
+	}
+	return entry, nil
+}
+
 func (r *Replica) register(reply chan<- outcome) uint64 {
 	r.nextID++
 	r.waiting[r.nextID] = reply
@@ -129,9 +154,7 @@
 
 func (r *Replica) apply(entries []raft.Entry) error {
 	for _, e := range entries {
-		if err := r.applyEntry(e); err != nil {
-			return err
-		}
+		r.applyEntry(e)
 	}
 	r.notifyChanged()
 	if r.model.Commit()-r.model.First() >= _compactAfter {
@@ -174,14 +197,23 @@
 	return r.update(raft.CompactMsg{Index: f.index, Data: f.data})
 }
 
-func (r *Replica) applyEntry(e raft.Entry) error {
+// applyEntry applies an entry. One that cannot be decoded changes nothing, at any replica:
+// a replica that stopped at it could never start again.
+func (r *Replica) applyEntry(e raft.Entry) {
 	entry := store.Entry{Command: store.AdvanceClock{}}
+	var invalid error
 	if e.Kind == raft.Normal {
-		msg, err := store.Codec.Decode(e.Data)
+		decoded, err := decodeEntry(e.Data)
 		if err != nil {
-			return errors.Errorf("entry %d: %w", e.Index, err)
+			invalid = errors.Mark(err, ErrInvalidCommand)
+			r.cfg.Logger.Error("skipped a log entry that cannot be decoded", slog.Uint64("group", uint64(r.cfg.Group)),
+				slog.Uint64("index", e.Index), slog.Any("error", err))
+			if r.cfg.OnSkippedEntry != nil {
+				r.cfg.OnSkippedEntry()
+			}
+		} else {
+			entry = decoded
 		}
-		entry, _ = msg.(store.Entry)
 	}
 	entry.Index = e.Index
 	r.mu.Lock()
@@ -190,15 +222,14 @@
 	r.mu.Unlock()
 	accepted, ok := r.accepted[e.Index]
 	if !ok {
-		return nil
+		return
 	}
 	delete(r.accepted, e.Index)
 	if accepted.Term != e.Term {
 		r.reply(accepted.ID, outcome{err: ErrReplaced})
-		return nil
+		return
 	}
-	r.reply(accepted.ID, outcome{result: result, index: e.Index})
-	return nil
+	r.reply(accepted.ID, outcome{result: result, index: e.Index, err: invalid})
 }
 
 func (r *Replica) restore(s raft.Snapshot) error {
--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -29,6 +29,8 @@
 	// ErrReplaced reports a command that was overwritten in the log by another
 	// leader. It had no effect.
 	ErrReplaced = errors.New("command was replaced")
+	// ErrInvalidCommand reports a command that no replica could decode. It had no effect.
+	ErrInvalidCommand = errors.New("command cannot be encoded")
 	// ErrSuperseded reports a data folder from before a rescue of its group on
 	// another host.
 	ErrSuperseded = errors.New("the data folder is from before a rescue: empty it and start again")
@@ -44,6 +46,7 @@
 	Disk           *disk.Disk
 	Send           func(to raft.Peer, envelope raft.Envelope)
 	OnLeaderChange func()
+	OnSkippedEntry func() // called for an entry that cannot be decoded
 	Logger         *slog.Logger
 	// Start is when the process started. It is shared by all replicas of the
 	// process.
--- a/ctrl/stats.go
+++ b/ctrl/stats.go
@@ -12,6 +12,7 @@
 	conflicts   tally.Counter   // writes rejected because of a revision mismatch
 	invalid     tally.Counter   // writes rejected as invalid
 	unconfirmed tally.Counter   // writes that failed or were not confirmed in time
+	skipped     tally.Counter   // log entries that cannot be decoded
 	failedReads tally.Counter   // reads rejected because the state was not up to date
 	confirm     tally.Histogram // time from receiving a write to its confirmation
 }
@@ -22,6 +23,7 @@
 		conflicts:   scope.Counter("conflicts"),
 		invalid:     scope.Counter("invalid"),
 		unconfirmed: scope.Counter("unsure"),
+		skipped:     scope.Counter("skipped"),
 		failedReads: scope.Counter("unread"),
 		confirm:     scope.Histogram("confirm_seconds", meter.LatencyBuckets()),
 	}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -147,6 +148,9 @@
 	if len(e.r.Header.Get(HeaderIdempotencyKey)) > _maxKeyLength {
 		return HeaderIdempotencyKey + " is longer than 255 bytes"
 	}
+	if !utf8.ValidString(e.r.Header.Get(HeaderIdempotencyKey)) {
+		return HeaderIdempotencyKey + " is not valid UTF-8"
+	}
 	if !e.body.whole() {
 		return "a request with a key has a body of 64 KiB at most"
 	}
