Requests are routed and sent on by the path that the caller sent

Callers saw: a POST to /permits/2026%2F117 run by the service of the route /permits/2026/, 40 of 40, as a request that may be repeated; /permits/2026 answered 404 although the route /permits/ serves it; and a raw | in a path reached the backend server as %7C. Cause: routes were looked up by the decoded path, prefixes of the plan were first matched by segments, then compared, with no second try, and the target was encoded anew at each hop.

One place now tells the path as it was sent; it selects the route and goes on unchanged. A plan's prefixes are literal and the longest that begins the path wins; routes of services stay whole segments.

--- a/node/attempt.go
+++ b/node/attempt.go
@@ -294,12 +294,9 @@
 func (e *exchange) newAttemptRequest(ctx context.Context, res *attemptResult) *http.Request {
 	c := res.choice.Candidate
 	body, length := e.body.open(e.r.ContentLength)
-	u := *e.r.URL
-	u.Scheme = "http"
-	u.Host = c.Addr
 	r := &http.Request{
 		Method:        e.r.Method,
-		URL:           &u,
+		URL:           forwardedURL(e.r, c.Addr),
 		ProtoMajor:    1, // the transport ignores Expect without a version
 		ProtoMinor:    1,
 		Host:          e.r.Host,
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -50,12 +49,12 @@
 	return &fleet{center: center, serviceRoutes: route.NewTable(nil), planRoutes: route.NewPlanTable(nil), services: map[string]*service{}, localBans: map[uint64]time.Time{}, unreachable: map[string]bool{}}
 }
 
-// find returns the route and service of a request. random in [0, 1) selects the
-// service of a route that is split between several.
+// find returns the route and service of a request, given its path as it was sent. random
+// in [0, 1) selects the service of a route that is split between several.
 func (f *fleet) find(host, method, path string, random float64) (route.Match, *service, bool) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	if match, ok := f.planRoutes.Find(host, method, path); ok && strings.HasPrefix(path, match.Plan.Path) {
+	if match, ok := f.planRoutes.Find(host, method, path); ok {
 		s := f.services[match.Plan.Pick(random)]
 		if s == nil {
 			return match, nil, false
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -59,7 +59,7 @@
 		refuse(w, http.StatusServiceUnavailable, "nothing is declared yet")
 		return
 	}
-	match, service, ok := s.fleet.find(r.Host, r.Method, r.URL.Path, rand.Float64())
+	match, service, ok := s.fleet.find(r.Host, r.Method, sentPath(r), rand.Float64())
 	if !ok {
 		refuse(w, http.StatusNotFound, "no route")
 		return
--- a/node/owner.go
+++ b/node/owner.go
@@ -343,12 +343,9 @@
 
 // request returns the attempt's request to the instance.
 func (j *job) request(ctx context.Context, addr string, w *work) *http.Request {
-	u := *j.r.URL
-	u.Scheme = "http"
-	u.Host = addr
 	r := &http.Request{
 		Method:        j.r.Method,
-		URL:           &u,
+		URL:           forwardedURL(j.r, addr),
 		Host:          j.r.Host,
 		Header:        forwardableHeader(j.r.Header),
 		Body:          upload{ReadCloser: j.r.Body, work: w},
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/damaskpitch/damaskpitch/plan"
 	"github.com/damaskpitch/damaskpitch/spec"
 	"github.com/damaskpitch/damaskpitch/view"
 )
@@ -91,6 +93,84 @@
 	})
 }
 
+// TestPlanTable guards against requests that take the route of another path than the one
+// that was sent, and against paths that find no route although a shorter prefix is there.
+func TestPlanTable(t *testing.T) {
+	var routes []plan.Route
+	for _, path := range []string{"/", "/permits/", "/permits/2026/", "/a%2Fb/", "/a/b/", "/tail", "/tail/x", "/d//e/"} {
+		routes = append(routes, plan.Route{Name: path, Host: "h", Path: path})
+	}
+	tbl := NewPlanTable(routes)
+	cases := []struct{ path, want string }{
+		{"/permits/2026/117", "/permits/2026/"},
+		{"/permits/2026", "/permits/"},
+		{"/permits/2026%2F117", "/permits/"},
+		{"/permits//2026/", "/permits/"},
+		{"/permits/../a/b/", "/permits/"},
+		{"/permits", "/"},
+		{"/a%2Fb/c", "/a%2Fb/"},
+		{"/a%2fb/c", "/"},
+		{"/a/b/c", "/a/b/"},
+		{"/tailor", "/tail"},
+		{"/tail/y", "/tail"},
+		{"/tail/xy", "/tail/x"},
+		{"/d/e/", "/"},
+		{"/d//e/f", "/d//e/"},
+		{"//permits/", "/"},
+		{"", ""},
+		{"*", ""},
+	}
+	for _, c := range cases {
+		got := ""
+		if m, ok := tbl.Find("h", "GET", c.path); ok {
+			got = m.Plan.Path
+		}
+		if got != c.want {
+			t.Errorf("%s: route %q, want %q", c.path, got, c.want)
+		}
+	}
+}
+
+// TestEncodedServiceRoute checks that the routes that services declare are found by the path
+// that a caller can send for them, and not by one with an encoded slash.
+func TestEncodedServiceRoute(t *testing.T) {
+	tbl := NewTable([]spec.Service{{Name: "a", Routes: []spec.Route{{Path: "/te whāriki/rugs"}}}})
+	for path, want := range map[string]bool{
+		"/te%20wh%C4%81riki/rugs/1": true,
+		"/te%20wh%C4%81riki%2Frugs": false,
+	} {
+		if _, ok := tbl.Find("h", "GET", path); ok != want {
+			t.Errorf("%s: found %t", path, ok)
+		}
+	}
+}
+
+// FuzzPlanTable compares the table with a search through all prefixes.
+func FuzzPlanTable(f *testing.F) {
+	f.Add("/\n/a/\n/a/b/\n/a", "/a/b")
+	f.Add("/a%2Fb/\n//\n/a//b/\n/a|", "/a|b//")
+	f.Fuzz(func(t *testing.T, prefixes, path string) {
+		var routes []plan.Route
+		want := ""
+		for _, prefix := range strings.Split(prefixes, "\n") {
+			if !strings.HasPrefix(prefix, "/") {
+				continue
+			}
+			routes = append(routes, plan.Route{Host: "h", Path: prefix})
+			if strings.HasPrefix(path, prefix) && len(prefix) > len(want) {
+				want = prefix
+			}
+		}
+		got := ""
+		if m, ok := NewPlanTable(routes).Find("h", "GET", path); ok {
+			got = m.Plan.Path
+		}
+		if got != want {
+			t.Errorf("%q among %q: route %q, want %q", path, prefixes, got, want)
+		}
+	})
+}
+
 func newTestPool(local, remote int) Pool {
 	var list []Candidate
 	for n := range local + remote {
--- a/route/table.go
+++ b/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -52,15 +53,27 @@
 }
 
 // Table finds the route of a request: of its host, the one with the longest prefix
-// of whole path segments that allows its method, or else one for all hosts.
+// that allows its method, or else one for all hosts. Paths are compared as they were
+// sent, without decoding: an encoded slash separates nothing.
 type Table struct {
 	hosts map[string]*pathNode // by lower-case host name, "" for all hosts
+	// literal compares prefixes byte by byte. Otherwise prefixes are whole segments, and
+	// empty segments are ignored.
+	literal bool
 }
 
 // pathNode is a node of a prefix tree of path segments.
 type pathNode struct {
 	children map[string]*pathNode
 	methods  []Match
+	// tails are the routes whose prefix ends within the next segment.
+	tails []tail
+}
+
+// tail is the last part of a literal prefix that does not end with a slash.
+type tail struct {
+	text  string
+	match Match
 }
 
 // NewTable returns the table of the given services' routes.
@@ -74,10 +87,10 @@
 	return t
 }
 
-// NewPlanTable returns the table of a plan's routes. Its matches have no service:
-// that is selected at random for each request.
+// NewPlanTable returns the table of a plan's routes. Its prefixes are literal, and its
+// matches have no service: that is selected at random for each request.
 func NewPlanTable(routes []plan.Route) *Table {
-	t := &Table{hosts: map[string]*pathNode{}}
+	t := &Table{hosts: map[string]*pathNode{}, literal: true}
 	for i := range routes {
 		r := &routes[i]
 		t.add(Match{Plan: r, Route: &spec.Route{Host: r.Host, Path: r.Path, Once: r.Kind.Once()}})
@@ -87,10 +100,17 @@
 
 // Find returns the match of a request, or false if there is none.
 func (t *Table) Find(host, method, path string) (Match, bool) {
-	if m, ok := find(t.hosts[hostname(host)], method, path); ok {
+	if m, ok := t.find(t.hosts[hostname(host)], method, path); ok {
 		return m, true
 	}
-	return find(t.hosts[""], method, path)
+	return t.find(t.hosts[""], method, path)
+}
+
+func (t *Table) find(p *pathNode, method, path string) (Match, bool) {
+	if t.literal {
+		return findLiteral(p, method, path)
+	}
+	return find(p, method, path)
 }
 
 func (t *Table) add(m Match) {
@@ -100,7 +120,11 @@
 		p = &pathNode{}
 		t.hosts[host] = p
 	}
-	rest := m.Route.Path
+	if t.literal {
+		p.addLiteral(m)
+		return
+	}
+	rest := escapeUnsendable(m.Route.Path)
 	for {
 		segment, more := cutSegment(&rest)
 		if !more {
@@ -123,6 +147,52 @@
 	return n
 }
 
+// addLiteral adds a route whose path begins with a slash below the node.
+func (p *pathNode) addLiteral(m Match) {
+	rest := strings.TrimPrefix(m.Route.Path, "/")
+	for {
+		segment, after, more := strings.Cut(rest, "/")
+		if !more {
+			break
+		}
+		p, rest = p.child(segment), after
+	}
+	if rest == "" {
+		p.methods = append(p.methods, m)
+		return
+	}
+	p.tails = append(p.tails, tail{text: rest, match: m})
+}
+
+// findLiteral returns the route with the longest prefix that begins the path.
+func findLiteral(p *pathNode, method, path string) (Match, bool) {
+	var best Match
+	rest, ok := strings.CutPrefix(path, "/")
+	for ok && p != nil {
+		if m, ok := p.match(method); ok {
+			best = m
+		}
+		if m, ok := p.matchTail(rest); ok {
+			best = m
+		}
+		var segment string
+		segment, rest, ok = strings.Cut(rest, "/")
+		p = p.children[segment]
+	}
+	return best, best.Route != nil
+}
+
+// matchTail returns the first route with the longest tail that begins the rest of a path.
+func (p *pathNode) matchTail(rest string) (Match, bool) {
+	var best tail
+	for _, t := range p.tails {
+		if len(t.text) > len(best.text) && strings.HasPrefix(rest, t.text) {
+			best = t
+		}
+	}
+	return best.match, best.match.Route != nil
+}
+
 func find(p *pathNode, method, path string) (Match, bool) {
 	var best Match
 	for p != nil {
@@ -152,6 +222,19 @@
 	return fallback, fallback.Route != nil
 }
 
+// escapeUnsendable encodes the bytes of a path that no request can carry as they are.
+func escapeUnsendable(path string) string {
+	var b strings.Builder
+	for i := range len(path) {
+		if c := path[i]; c <= ' ' || c >= 0x7f {
+			fmt.Fprintf(&b, "%%%02X", c)
+			continue
+		}
+		b.WriteByte(path[i])
+	}
+	return b.String()
+}
+
 // cutSegment removes the next non-empty segment from a path and returns it.
 func cutSegment(path *string) (string, bool) {
 	rest := strings.TrimLeft(*path, "/")
