--- a/route/table.go
+++ b/route/table.go
@@ -60,14 +60,15 @@
 	// literal compares prefixes byte by byte. Otherwise prefixes are whole segments, and
 	// empty segments are ignored.
 	literal bool
+	// tails are the routes whose literal prefix ends within a segment below a node. They
+	// are rare, and the tree has a node for each route.
+	tails map[*pathNode][]tail
 }
 
 // pathNode is a node of a prefix tree of path segments.
 type pathNode struct {
 	children map[string]*pathNode
 	methods  []Match
-	// tails are the routes whose prefix ends within the next segment.
-	tails []tail
 }
 
 // tail is the last part of a literal prefix that does not end with a slash.
@@ -108,7 +109,7 @@
 
 func (t *Table) find(p *pathNode, method, path string) (Match, bool) {
 	if t.literal {
-		return findLiteral(p, method, path)
+		return t.findLiteral(p, method, path)
 	}
 	return find(p, method, path)
 }
@@ -121,7 +122,7 @@
 		t.hosts[host] = p
 	}
 	if t.literal {
-		p.addLiteral(m)
+		t.addLiteral(p, m)
 		return
 	}
 	rest := escapeUnsendable(m.Route.Path)
@@ -148,7 +149,7 @@
 }
 
 // addLiteral adds a route whose path begins with a slash below the node.
-func (p *pathNode) addLiteral(m Match) {
+func (t *Table) addLiteral(p *pathNode, m Match) {
 	rest := strings.TrimPrefix(m.Route.Path, "/")
 	for {
 		segment, after, more := strings.Cut(rest, "/")
@@ -161,18 +162,21 @@
 		p.methods = append(p.methods, m)
 		return
 	}
-	p.tails = append(p.tails, tail{text: rest, match: m})
+	if t.tails == nil {
+		t.tails = map[*pathNode][]tail{}
+	}
+	t.tails[p] = append(t.tails[p], tail{text: rest, match: m})
 }
 
 // findLiteral returns the route with the longest prefix that begins the path.
-func findLiteral(p *pathNode, method, path string) (Match, bool) {
+func (t *Table) findLiteral(p *pathNode, method, path string) (Match, bool) {
 	var best Match
 	rest, ok := strings.CutPrefix(path, "/")
 	for ok && p != nil {
 		if m, ok := p.match(method); ok {
 			best = m
 		}
-		if m, ok := p.matchTail(rest); ok {
+		if m, ok := longestTail(t.tails[p], rest); ok {
 			best = m
 		}
 		var segment string
@@ -182,10 +186,10 @@
 	return best, best.Route != nil
 }
 
-// matchTail returns the first route with the longest tail that begins the rest of a path.
-func (p *pathNode) matchTail(rest string) (Match, bool) {
+// longestTail returns the first route with the longest tail that begins the rest of a path.
+func longestTail(tails []tail, rest string) (Match, bool) {
 	var best tail
-	for _, t := range p.tails {
+	for _, t := range tails {
 		if len(t.text) > len(best.text) && strings.HasPrefix(rest, t.text) {
 			best = t
 		}
@@ -224,10 +228,13 @@
 
 // escapeUnsendable encodes the bytes of a path that no request can carry as they are.
 func escapeUnsendable(path string) string {
+	if !strings.ContainsFunc(path, isUnsendable) {
+		return path
+	}
 	var b strings.Builder
 	for i := range len(path) {
-		if c := path[i]; c <= ' ' || c >= 0x7f {
-			fmt.Fprintf(&b, "%%%02X", c)
+		if isUnsendable(rune(path[i])) {
+			fmt.Fprintf(&b, "%%%02X", path[i])
 			continue
 		}
 		b.WriteByte(path[i])
@@ -235,6 +242,10 @@
 	return b.String()
 }
 
+func isUnsendable(c rune) bool {
+	return c <= ' ' || c >= 0x7f
+}
+
 // cutSegment removes the next non-empty segment from a path and returns it.
 func cutSegment(path *string) (string, bool) {
 	rest := strings.TrimLeft(*path, "/")
