A node that starts gives a leaving instance no new grace period

Cause: a node that first hears of an instance as leaving began its grace anew, though an earlier process had confirmed it. It now takes nothing new for it. TestLeavingBeforeFirstReport failed before: the attempt was started.

--- a/node/backend.go
+++ b/node/backend.go
@@ -51,7 +51,6 @@
 // registerInstance adds an instance or renews its lease.
 func (s *Server) registerInstance(i view.Instance, lease time.Duration) {
 	limits, patience := s.limitsOf(i.Service, i.Slots)
-	grace := s.fleet.spec(i.Service).Grace.Std()
 	s.mu.Lock()
 	b, known := s.backends[i.ID]
 	if known && b.instance.Service != i.Service {
@@ -72,7 +71,8 @@
 		s.updateGateLocked(gate.RegisterMsg{ID: i.ID, Limits: limits, At: s.now()})
 	}
 	if !known && i.Leaving {
-		s.updateGateLocked(gate.LeaveMsg{ID: i.ID, Until: s.now() + grace})
+		// It has said so to an earlier process of this node, which knew its grace period.
+		s.updateGateLocked(gate.LeaveMsg{ID: i.ID, Until: s.now()})
 	}
 	s.mu.Unlock()
 	if !changed {
--- a/node/instance.go
+++ b/node/instance.go
@@ -141,6 +141,9 @@
 		return
 	}
 	i := p.instance(id)
+	if p.State == Leaving && s.serviceOf(id) == "" {
+		i = i.WithLeaving()
+	}
 	s.removeReplaced(i)
 	s.registerInstance(i, _reportLease)
 	if p.State == Leaving {
--- a/node/instance_test.go
+++ b/node/instance_test.go
@@ -4,8 +4,11 @@
 	"log/slog"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/damaskpitch/damaskpitch/config"
+	"github.com/damaskpitch/damaskpitch/gate"
+	"github.com/damaskpitch/damaskpitch/ledger"
 	"github.com/damaskpitch/damaskpitch/spec"
 )
 
@@ -102,6 +105,35 @@
 }
 
 // FuzzReport checks that the parser neither panics nor accepts a field out of range.
+// TestLeavingBeforeFirstReport guards against a grace period that begins anew at a node which
+// has just started: an instance that it first hears of as leaving has said so before, to the
+// process before this one.
+func TestLeavingBeforeFirstReport(t *testing.T) {
+	s := newReportServer(t)
+	sequence := int64(0)
+	admit := func(id string) gate.Cmd {
+		sequence++
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		ref := ledger.Ref{Node: "m", Epoch: 1, Seq: uint64(sequence)}
+		return s.updateGateLocked(gate.AdmitMsg{ID: id, Ref: ref, At: s.now(), StartBy: s.now() + time.Second})[0]
+	}
+	report := func(id string, state State) {
+		sequence++
+		next := sequence
+		s.handleReport(id, Report{Service: "s", Addr: "127.0.0.1:1", Slots: 9, State: state, Sequence: &next, Born: 1})
+	}
+	report("gone", Leaving)
+	if refused, ok := admit("gone").(gate.RefuseCmd); !ok || refused.Reason != gate.Leaving {
+		t.Errorf("attempt at an instance that has said that it leaves to an earlier process: %+v", refused)
+	}
+	report("known", Ready)
+	report("known", Leaving)
+	if cmd, ok := admit("known").(gate.StartCmd); !ok {
+		t.Errorf("attempt within the grace of an instance that has just said that it leaves: %+v", cmd)
+	}
+}
+
 func FuzzReport(f *testing.F) {
 	f.Add(`{"service":"s","addr":"127.0.0.1:1","slots":4,"state":"ready","warm":"0ms","sequence":4}`)
 	f.Fuzz(func(t *testing.T, data string) {
