--- a/gossip/hosts.go
+++ b/gossip/hosts.go
@@ -20,6 +20,8 @@
 	_slowSearchInterval = 500 * time.Millisecond
 	// _maxSilence is how long the rest of a reply may take to go on arriving.
 	_maxSilence = time.Second
+	// _askedWithoutState is how many hosts a node without any state asks.
+	_askedWithoutState = 2
 	// _rotateInterval is the time between pulls from other hosts than the polled one,
 	// so that no single host is relied on.
 	_rotateInterval = 5 * time.Second
@@ -90,16 +92,23 @@
 	if m.searches > len(m.control) {
 		m.searchAt = m.at + _slowSearchInterval
 	}
-	if m.fetchAddr == "" && m.searches > len(m.control) {
-		if newest := m.newestHost(); newest != "" {
-			// None of them is current, but this one has changes.
-			m.fetchAddr = newest
-			return m.pullFrom(newest, m.pull(0), true)
-		}
+	if newest := m.newestHost(); newest != "" && m.fetchAddr == "" && m.searches > m.askedBeforeFetch() {
+		// None of them is current, but this one has changes.
+		m.fetchAddr = newest
+		return m.pullFrom(newest, m.pull(0), true)
 	}
 	return m.pullFrom(addr, m.head(), true)
 }
 
+// askedBeforeFetch returns how many hosts are asked before changes are taken from one that
+// is not current. To a node that knows nothing, any state is better than none.
+func (m *Model) askedBeforeFetch() int {
+	if m.view.Rev == 0 {
+		return min(_askedWithoutState, len(m.control))
+	}
+	return len(m.control)
+}
+
 // newestHost returns the host without a pending pull that has the latest revision, if that
 // is later than this node's; otherwise "".
 func (m *Model) newestHost() string {
--- a/node/listen.go
+++ b/node/listen.go
@@ -127,5 +127,5 @@
 		return errors.Errorf("serve on %s: %w", addr, err)
 	case <-ctx.Done():
 	}
-	return s.drain(server, conns, l, addr)
+	return s.drainServer(server, conns, l, addr)
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -157,9 +157,9 @@
 	})
 }
 
-// drain stops accepting connections after a delay, and then waits for the open ones
+// drainServer stops accepting connections after a delay, and then waits for the open ones
 // until the stop must end.
-func (s *Server) drain(server *http.Server, conns *connStates, l *net.TCPListener, addr string) error {
+func (s *Server) drainServer(server *http.Server, conns *connStates, l *net.TCPListener, addr string) error {
 	if err := steerToNewest(l); err != nil {
 		s.log.Warn("cannot steer new connections to the successor", slog.String("addr", addr), slog.Any("error", err))
 	}
