A planned stop waits for the first request on a new connection

A stop also had no time left after the handshakes had settled if its timeout is short.

Connections opened within the last half second are given that time, in the first half of what is left of the stop, and handshakes settle before the listener's time is over.

--- a/node/stop.go
+++ b/node/stop.go
@@ -30,19 +30,31 @@
 	return slog.Group("attempts", slog.Int64("started", c.started.Load()), slog.Int64("refused", c.refused.Load()))
 }
 
+const (
+	// _firstRequestTime is how long the first request on a connection may take to come.
+	_firstRequestTime = 500 * time.Millisecond
+	_connPollInterval = 10 * time.Millisecond
+)
+
 // connStates holds the state of each open connection of a server.
 type connStates struct {
 	mu     sync.Mutex
-	states map[net.Conn]http.ConnState
+	states map[net.Conn]connState
 	// closing says that the server takes no more requests, and done is closed once it has
 	// no connections left.
 	closing bool
 	done    chan struct{}
 }
 
+// connState is a state of a connection and when it began.
+type connState struct {
+	http.ConnState
+	since time.Time
+}
+
 // newConnStates returns the states of a server without connections.
 func newConnStates() *connStates {
-	return &connStates{states: map[net.Conn]http.ConnState{}, done: make(chan struct{})}
+	return &connStates{states: map[net.Conn]connState{}, done: make(chan struct{})}
 }
 
 // track records the state of a connection; it has the signature of http.Server.ConnState.
@@ -54,12 +66,31 @@
 		c.checkDoneLocked()
 		return
 	}
-	c.states[conn] = state
+	c.states[conn] = connState{ConnState: state, since: time.Now()}
 	if c.closing && state == http.StateNew {
 		_ = conn.Close()
 	}
 }
 
+// awaitFirstRequests waits until the first requests have come on the connections that are
+// open, except on those that have been without one for long, but not longer than the limit.
+func (c *connStates) awaitFirstRequests(limit time.Duration) {
+	for end := time.Now().Add(limit); time.Now().Before(end) && c.expectsFirstRequest(); {
+		time.Sleep(_connPollInterval)
+	}
+}
+
+func (c *connStates) expectsFirstRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, state := range c.states {
+		if state.ConnState == http.StateNew && time.Since(state.since) < _firstRequestTime {
+			return true
+		}
+	}
+	return false
+}
+
 // closeUnused closes the connections on which no request has come, now and from now on.
 // net/http waits some seconds for them, though it drops what comes on them once it is
 // shutting down.
@@ -68,7 +99,7 @@
 	defer c.mu.Unlock()
 	c.closing = true
 	for conn, state := range c.states {
-		if state == http.StateNew {
+		if state.ConnState == http.StateNew {
 			_ = conn.Close()
 		}
 	}
@@ -92,7 +123,7 @@
 	defer c.mu.Unlock()
 	var unused, active, idle int
 	for _, state := range c.states {
-		switch state {
+		switch state.ConnState {
 		case http.StateNew:
 			unused++
 		case http.StateActive:
@@ -166,8 +197,10 @@
 	stop := s.beginStop()
 	// Active callers leave with their next response. Closing their connections
 	// immediately would break requests in transit.
-	time.Sleep(stop.CloseAt() - s.now())
+	time.Sleep(stop.CloseAt() - _handshakeTime - s.now())
 	s.settleHandshakes(l, addr)
+	// A server that shuts down drops the first request on a connection.
+	conns.awaitFirstRequests((stop.End() - s.now()) / 2)
 	s.log.Info("listener closes", slog.String("addr", addr), slog.Duration("after", stop.Since(s.now())), conns.logValues(), s.stopCounts.logValues())
 	err := shutdown(server, conns, stop.End()-s.now())
 	s.log.Info("listener drained", slog.String("addr", addr), slog.Duration("after", stop.Since(s.now())), conns.logValues(), s.stopCounts.logValues())
