--- a/gossip/link_test.go
+++ b/gossip/link_test.go
@@ -110,8 +110,8 @@
 		}
 		open = append(open, r)
 	}
-	l.replies = append(open, l.started...)
-	l.started = nil
+	open = append(open, l.started...)
+	l.replies, l.started = open, nil
 }
 
 func (l *narrowLink) mode(r *reply) hostMode {
