A stopping owner can be asked about its attempts until they are done

Cause: an attempt that starts in a stop can outlast the owner's listener, which closed after 3 s; the ingress asks about an attempt over a new connection, takes the refusal for a lost node and gives the attempt up.

The peer listener now stays open until no attempt runs or waits at the node.

--- a/node/stop.go
+++ b/node/stop.go
@@ -34,6 +34,9 @@
 	// _firstRequestTime is how long the first request on a connection may take to come.
 	_firstRequestTime = 500 * time.Millisecond
 	_connPollInterval = 10 * time.Millisecond
+	// _peerMargin is the last part of a stop, in which a node closes its peer listener even
+	// if attempts run.
+	_peerMargin = 400 * time.Millisecond
 )
 
 // connStates holds the state of each open connection of a server.
@@ -198,6 +201,10 @@
 	// Active callers leave with their next response. Closing their connections
 	// immediately would break requests in transit.
 	time.Sleep(stop.CloseAt() - _handshakeTime - s.now())
+	if addr == s.cfg.Settings.Peer && s.cfg.Settings.Stop > 0 {
+		// Other nodes ask about attempts that run here, and take silence for a lost node.
+		s.awaitAttempts(stop.End() - _peerMargin)
+	}
 	s.settleHandshakes(l, addr)
 	// A server that shuts down drops the first request on a connection.
 	conns.awaitFirstRequests((stop.End() - s.now()) / 2)
@@ -210,6 +217,28 @@
 	return nil
 }
 
+// awaitAttempts waits until no attempt runs or waits at an instance on this host, at most
+// until the limit.
+func (s *Server) awaitAttempts(limit time.Duration) {
+	for s.now() < limit && s.hasAttempts() {
+		time.Sleep(_connPollInterval)
+	}
+}
+
+func (s *Server) hasAttempts() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.waiting) > 0 {
+		return true
+	}
+	for _, b := range s.backends {
+		if len(b.inFlight) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // shutdown closes a server's listener and unused connections, and waits for the others
 // until the timeout.
 func shutdown(server *http.Server, conns *connStates, timeout time.Duration) error {
--- a/trials/planned_test.go
+++ b/trials/planned_test.go
@@ -193,3 +193,21 @@
 		})
 	}
 }
+
+// TestAttemptOutlastsListener guards against an attempt that is given up because its owner,
+// which is stopping, no longer accepts the questions about it.
+func TestAttemptOutlastsListener(t *testing.T) {
+	f, a, b := startStoppingFleet(t)
+	if err := b.Leave(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(lookupService().Grace.Std())
+	a.SetBehaviour(fake.Behaviour{Delay: 4 * time.Second})
+	f.terminate(f.procs[f.nodes[0].Name].Process)
+	time.Sleep(500 * time.Millisecond)
+	header := http.Header{"Request-Id": {"long"}, "Timeout-Ms": {"9000"}}
+	status, body, err := f.call(http.MethodGet, "http://"+f.nodes[1].Caller+"/check/long", header, nil)
+	if err != nil || status != http.StatusOK {
+		t.Errorf("status %d, %s, %v", status, body, err)
+	}
+}
