Completed runs end the ban of a request that servers crashed beside

Cause: only crashes were counted. Every request in flight at a crash is accused unless it has completed at that node before, and two accusations banned it for a fixed ten minutes. Nothing that spoke for the request reached the control hosts, and no copy was let through to find out.

Change: crashes count against a request and completed runs anywhere in the fleet count for it (CUSUM). Two crashes more than completions ban it. For the first 3 s callers are deferred (503, Retry-After) while owners report runs that completed since shortly before the first crash; each report ends the ban sooner. After that requests are refused (422), and one request at a time is tried, after 5 s and then five times rarer after each trial that ends in a crash. Related paths: an ingress's own ban after two crashes within one request was a 422 for 10 s; it is now a 503 for 2 s, longer each time, and ends with a completed run. A completed run at an owner rules out one crash instead of all for five minutes, so a popular request that begins to crash servers is found. Crashes are told apart by the life of an instance, so a service with one instance is guarded too.

--- a/node/attempt.go
+++ b/node/attempt.go
@@ -219,9 +219,12 @@
 	if strings.Contains(res.reason, _reasonCrash) {
 		e.crashCount++
 		if e.crashCount == _maxCrashes {
-			e.server.fleet.banLocally(e.fingerprint())
+			e.server.fleet.bans.hold(e.fingerprint(), time.Now())
 		}
 	}
+	if res.execution == retry.Executed && !isServerFailure(res.response) {
+		e.server.fleet.bans.release(e.cachedFingerprint)
+	}
 	e.recordLoad(res)
 	e.recordNotice(res)
 }
--- a/node/backend.go
+++ b/node/backend.go
@@ -43,6 +43,8 @@
 	bodyTimePerMiB time.Duration // smoothed time of a response body per MiB; 0 if unknown
 	notice         notice        // of its last response
 	responded      bool          // since it was announced here
+	crashes        uint64        // that this process has reported
+	crashedAt      time.Duration // when the last of them was reported
 	// pooled reuses connections, for requests that may be repeated. unpooled opens a
 	// connection for each request.
 	pooled, unpooled *http.Transport
--- a/node/crash.go
+++ b/node/crash.go
@@ -15,10 +15,8 @@
 
 const (
 	_crashProbeTimeout = 100 * time.Millisecond
-	_reasonBanned      = "crashes backend servers"
 	_reasonCrash       = "backend server crashed"
 	_maxCrashes        = 2
-	_localBanTime      = 10 * time.Second
 )
 
 // errCrashed means that the backend server crashed while it ran requests.
@@ -39,34 +37,41 @@
 }
 
 // reportCrash reports the fingerprints of the requests in flight at a crashed instance
-// to the control hosts.
-func (s *Server) reportCrash(id string) {
-	fingerprints := s.suspectFingerprints(id)
-	s.log.Warn("backend server crashed", slog.String("instance", id), slog.Any("prints", fingerprints))
+// to the control hosts. The first request that notices the crash reports it.
+func (s *Server) reportCrash(id string, w *work) {
+	life, fingerprints := s.recordCrash(id, w)
+	if life == 0 {
+		return
+	}
+	s.log.Warn("backend server crashed", slog.String("instance", id), slog.Uint64("life", life), slog.Any("prints", fingerprints))
 	if len(fingerprints) == 0 {
 		return
 	}
 	go func() {
 		key := view.Key{Node: s.cfg.Settings.Name, ID: id}
-		_, err := s.submit(context.Background(), place.FleetGroup, store.ReportCrash{Key: key, Epoch: s.epoch.Load(), Fingerprints: fingerprints})
+		report := store.ReportCrash{Key: key, Epoch: s.epoch.Load(), Life: life, Fingerprints: fingerprints}
+		_, err := s.submit(context.Background(), place.FleetGroup, report)
 		s.log.Info("crash reported", slog.String("instance", id), slog.Any("error", err))
 	}()
 }
 
-// suspectFingerprints returns the fingerprints of the requests in flight at an
-// instance, without those that have succeeded recently.
-func (s *Server) suspectFingerprints(id string) []uint64 {
+// recordCrash returns the number of the crash at an instance that ended a request, and
+// the fingerprints of the requests in flight, without those that have succeeded recently.
+// It returns 0 for a crash that is recorded already: the request began before it.
+func (s *Server) recordCrash(id string, ended *work) (uint64, []uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.backends[id]
-	if b == nil {
-		return nil
+	if b == nil || b.crashes > 0 && ended.startedAt <= b.crashedAt {
+		return 0, nil
 	}
+	b.crashes++
+	b.crashedAt = s.now()
 	var fingerprints []uint64
 	for _, w := range b.inFlight {
 		if w.fingerprint != 0 {
 			fingerprints = append(fingerprints, w.fingerprint)
 		}
 	}
-	return s.recentSuccesses.Suspects(fingerprints, s.now())
+	return b.crashes, s.recentSuccesses.Suspects(fingerprints, s.now())
 }
--- a/node/detect.go
+++ b/node/detect.go
@@ -96,6 +96,7 @@
 		b.typicalTime = smooth(b.typicalTime, w.instanceTime())
 		b.durations = b.durations.With(w.instanceTime())
 		s.recentSuccesses.Add(w.fingerprint, s.now())
+		s.testifySoon(w.fingerprint)
 	}
 	delete(b.inFlight, ref)
 	s.recordBodyTimeLocked(b, w)
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -69,7 +69,7 @@
 
 // makeAttempt makes one attempt and returns the message that reports its outcome.
 func (e *exchange) makeAttempt(ctx context.Context, cmd call.AttemptCmd) call.Msg {
-	if cmd.Retry && (ctx.Err() != nil || e.crashCount >= _maxCrashes || !cmd.Free && !e.takeRetryBudget()) {
+	if cmd.Retry && (ctx.Err() != nil || e.crashCount >= e.maxCrashes() || !cmd.Free && !e.takeRetryBudget()) {
 		e.server.log.Info("not retrying the request", slog.String("request", e.id))
 		return call.NoBudgetMsg{}
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -29,9 +29,8 @@
 	services          map[string]*service
 	claimGroups       uint32 // number of groups that hold idempotency keys; 0 if unknown
 	rumors            func(service string) []proto.Rumor
-	banned            map[uint64]bool
-	unreachable       map[string]bool      // addresses of unreachable owners
-	localBans         map[uint64]time.Time // by fingerprint: end of this ingress's own ban
+	unreachable       map[string]bool // addresses of unreachable owners
+	bans              bans
 }
 
 // service is this ingress's state of a service.
@@ -46,7 +45,7 @@
 }
 
 func newFleet(center string) *fleet {
-	return &fleet{center: center, serviceRoutes: route.NewTable(nil), planRoutes: route.NewPlanTable(nil), services: map[string]*service{}, localBans: map[uint64]time.Time{}, unreachable: map[string]bool{}}
+	return &fleet{center: center, serviceRoutes: route.NewTable(nil), planRoutes: route.NewPlanTable(nil), services: map[string]*service{}, unreachable: map[string]bool{}}
 }
 
 // find returns the route and service of a request, given its path as it was sent. random
@@ -185,26 +184,6 @@
 	return &declared
 }
 
-// isBanned reports whether requests with the fingerprint are refused.
-func (f *fleet) isBanned(fingerprint uint64) bool {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	return f.banned[fingerprint] || time.Now().Before(f.localBans[fingerprint])
-}
-
-// banLocally bans a fingerprint at this ingress for _localBanTime, until the
-// fleet-wide ban is in effect.
-func (f *fleet) banLocally(fingerprint uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for expired, until := range f.localBans {
-		if time.Now().After(until) {
-			delete(f.localBans, expired)
-		}
-	}
-	f.localBans[fingerprint] = time.Now().Add(_localBanTime)
-}
-
 // spec returns a service's declaration, or the defaults if it is not declared.
 func (f *fleet) spec(name string) spec.Service {
 	f.mu.RLock()
@@ -219,13 +198,9 @@
 
 // update applies the view to the named services, or to all of them.
 func (f *fleet) update(v *view.View, names []string, all bool) {
-	banned := make(map[uint64]bool)
-	for _, fingerprint := range v.Banned() {
-		banned[fingerprint] = true
-	}
+	f.bans.update(v.Bans(), time.Now())
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.banned = banned
 	f.claimGroups = v.Groups
 	f.declarationsKnown = f.declarationsKnown || v.Plan.Version > 0 || len(v.Services()) > 0
 	if f.version != v.Plan.Version {
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -48,6 +48,7 @@
 	claimResult       store.ClaimResult
 	search            probe.Model
 	crashCount        int
+	trial             bool // a trial of a banned request
 	cachedFingerprint uint64
 }
 
@@ -102,9 +103,7 @@
 	service.mu.Lock()
 	service.budget = service.budget.AddRequest(retry.DefaultQuota(), s.now())
 	service.mu.Unlock()
-	if e.body.whole() && s.fleet.isBanned(e.fingerprint()) {
-		s.log.Warn("request refused because its fingerprint is banned", slog.String("request", e.id), slog.String("reason", _reasonBanned))
-		refuse(w, http.StatusUnprocessableEntity, _reasonBanned)
+	if e.body.whole() && e.refuseBanned(ctx) {
 		return
 	}
 	e.search = probe.New(probe.Config{Start: s.now(), Deadline: s.now() + timeout})
--- a/node/owner.go
+++ b/node/owner.go
@@ -305,7 +305,7 @@
 	if err != nil {
 		outcome := outcomeOf(ctx, err, w)
 		if connected.Load() && outcome == workFailed && s.crashed(ctx, addr) {
-			s.reportCrash(j.instance)
+			s.reportCrash(j.instance, w)
 			err = errCrashed
 		}
 		s.finishWork(j.instance, j.ref, outcome)
--- a/node/viewsync.go
+++ b/node/viewsync.go
@@ -204,6 +204,7 @@
 	s.log.LogAttrs(context.Background(), slog.LevelInfo, "view updated", attrs...)
 	s.updateAllLimits()
 	s.endEjections(v)
+	s.testifyToBans()
 	if member, ok := v.Member(s.cfg.Settings.Name); !ok || member.Epoch != s.epoch.Load() {
 		s.heartbeatSoon()
 	}
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -254,5 +254,6 @@
 		AttemptQuery{}, AttemptStatus{}, Ack{}, TakeOver{}, Handover{}, store.WrongGroup{},
 	)
 	list = append(list, store.LaterTypes()...)
-	return append(list, RelayQuery{}, ReplicateReply{})
+	list = append(list, RelayQuery{}, ReplicateReply{})
+	return append(list, store.RecentTypes()...)
 }
--- a/store/command.go
+++ b/store/command.go
@@ -128,13 +128,28 @@
 }
 
 // ReportCrash reports an instance crash with the fingerprints of the requests that
-// were in flight.
+// were in flight. Life tells the crashes of an instance apart that one process of its
+// node has seen.
 type ReportCrash struct {
 	Key          view.Key `json:"key"`
 	Epoch        uint64   `json:"epoch"`
+	Life         uint64   `json:"life,omitempty"`
 	Fingerprints []uint64 `json:"prints"`
 }
 
+// ReportCompleted reports that a request with a banned fingerprint completed.
+type ReportCompleted struct {
+	Node        string `json:"node"`
+	Epoch       uint64 `json:"epoch"`
+	Fingerprint uint64 `json:"print"`
+}
+
+// TryBanned asks to serve one request with a banned fingerprint as a trial. The result is
+// Written if it may be served, and Stale if not.
+type TryBanned struct {
+	Fingerprint uint64 `json:"print"`
+}
+
 // BootstrapGroup reserves the right to bootstrap a claim group for a host. Only the
 // first host that requests it gets it.
 type BootstrapGroup struct {
@@ -161,6 +176,8 @@
 func (Claim) command()              {}
 func (SettleClaim) command()        {}
 func (ReportCrash) command()        {}
+func (ReportCompleted) command()    {}
+func (TryBanned) command()          {}
 func (AdvanceClock) command()       {}
 func (BootstrapGroup) command()     {}
 
@@ -202,5 +219,11 @@
 	return append(view.LaterTypes(), Declare{}, Amend{}, InvalidPlan{})
 }
 
+// RecentTypes lists the types added after the numbers that follow LaterTypes were
+// assigned to other packages.
+func RecentTypes() []any {
+	return []any{ReportCompleted{}, TryBanned{}}
+}
+
 // Codec encodes and decodes log entries and snapshots.
-var Codec = wire.NewCodec(slices.Concat(view.Types(), Types(), LaterTypes())...)
+var Codec = wire.NewCodec(slices.Concat(view.Types(), Types(), LaterTypes(), RecentTypes())...)
--- a/store/store.go
+++ b/store/store.go
@@ -130,6 +130,10 @@
 		return m, m.restoreInstance(c)
 	case ReportCrash:
 		return m, m.reportCrash(c)
+	case ReportCompleted:
+		return m, m.reportCompleted(c)
+	case TryBanned:
+		return m, m.tryBanned(c)
 	case Claim:
 		return m.claim(c)
 	case SettleClaim:
--- a/trials/poison_test.go
+++ b/trials/poison_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/damaskpitch/damaskpitch/fake"
 )
@@ -44,3 +46,60 @@
 		t.Error(err)
 	}
 }
+
+// TestPopularRequestAtUnrelatedCrashes crashes two of eight backend servers for a reason
+// of their own while copies of one new request run at all of them. It guards against the
+// ban of a popular request by crashes that it did not cause.
+func TestPopularRequestAtUnrelatedCrashes(t *testing.T) {
+	const (
+		runTime   = 700 * time.Millisecond
+		interval  = 30 * time.Millisecond
+		copies    = 150
+		maxDenied = 0
+	)
+	f := newFleet(t, 1, 2)
+	f.startAll()
+	f.putService(0, lookupService().WithFloor(6), "first")
+	var servers []*fake.Backend
+	for n := range 8 {
+		servers = append(servers, f.startBackend(fmt.Sprintf("lookup-%d", n+1), "lookup", n%2))
+		servers[n].SetBehaviour(fake.Behaviour{Delay: runTime})
+	}
+	f.awaitInstances(8)
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	var group sync.WaitGroup
+	start := time.Now()
+	for n := range copies {
+		time.Sleep(time.Until(start.Add(time.Duration(n) * interval)))
+		group.Go(func() {
+			status, _, _ := f.call(http.MethodGet, "http://"+f.nodes[n%2].Caller+"/check/popular", nil, nil)
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[status]++
+		})
+		if time.Duration(n) != (runTime-50*time.Millisecond)/interval {
+			continue
+		}
+		crashed := 0
+		for _, server := range servers {
+			if server.RequestCount() > 0 && crashed < 2 {
+				crashed++
+				if err := server.Crash(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if crashed < 2 {
+			t.Fatal("fewer than two backend servers run the request")
+		}
+	}
+	group.Wait()
+	t.Logf("responses by status: %v", statuses)
+	if statuses[http.StatusUnprocessableEntity] > maxDenied {
+		t.Errorf("%d of %d requests were refused for good", statuses[http.StatusUnprocessableEntity], copies)
+	}
+	if statuses[http.StatusOK] < copies/2 {
+		t.Errorf("%d of %d requests were served", statuses[http.StatusOK], copies)
+	}
+}
--- a/view/event.go
+++ b/view/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/damaskpitch/damaskpitch/plan"
+	"github.com/damaskpitch/damaskpitch/poison"
 	"github.com/damaskpitch/damaskpitch/spec"
 )
 
@@ -64,9 +65,10 @@
 	Key Key `json:"key"`
 }
 
-// FingerprintBanned bans requests with a fingerprint on all nodes.
+// FingerprintBanned bans requests with a fingerprint on all nodes, or replaces its ban.
 type FingerprintBanned struct {
-	Fingerprint uint64 `json:"print"`
+	Fingerprint uint64     `json:"print"`
+	Ban         poison.Ban `json:"ban"`
 }
 
 // FingerprintUnbanned lifts the ban on a fingerprint.
--- a/view/snapshot.go
+++ b/view/snapshot.go
@@ -8,14 +8,14 @@
 
 // Snapshot is a whole view in the form that is sent and stored.
 type Snapshot struct {
-	Rev      uint64             `json:"rev"`
-	Cluster  uint64             `json:"cluster"`
-	Groups   uint32             `json:"groups,omitempty"`
-	Services []VersionedService `json:"services"`
-	Hosts    []Host             `json:"hosts"`
-	Ejected  []Key              `json:"ejected"`
-	Banned   []uint64           `json:"banned"`
-	Plan     plan.Plan          `json:"plan"`
+	Rev      uint64              `json:"rev"`
+	Cluster  uint64              `json:"cluster"`
+	Groups   uint32              `json:"groups,omitempty"`
+	Services []VersionedService  `json:"services"`
+	Hosts    []Host              `json:"hosts"`
+	Ejected  []Key               `json:"ejected"`
+	Bans     []FingerprintBanned `json:"bans"`
+	Plan     plan.Plan           `json:"plan"`
 }
 
 // Host is a member and its instances.
@@ -26,7 +26,7 @@
 
 // Snapshot returns a snapshot of the view.
 func (v *View) Snapshot() Snapshot {
-	s := Snapshot{Rev: v.Rev, Cluster: v.Cluster, Groups: v.Groups, Plan: v.Plan, Services: v.Services(), Ejected: v.EjectedKeys(), Banned: v.Banned()}
+	s := Snapshot{Rev: v.Rev, Cluster: v.Cluster, Groups: v.Groups, Plan: v.Plan, Services: v.Services(), Ejected: v.EjectedKeys(), Bans: v.Bans()}
 	for _, m := range v.Members() {
 		s.Hosts = append(s.Hosts, Host{Member: m, Instances: v.InstancesOf(m.Node)})
 	}
@@ -48,8 +48,8 @@
 	for _, k := range s.Ejected {
 		v.ejected[k] = true
 	}
-	for _, fingerprint := range s.Banned {
-		v.banned[fingerprint] = true
+	for _, b := range s.Bans {
+		v.banned[b.Fingerprint] = b.Ban
 	}
 	v.Rev = s.Rev
 	v.Cluster = s.Cluster
--- a/view/view.go
+++ b/view/view.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/damaskpitch/damaskpitch/plan"
+	"github.com/damaskpitch/damaskpitch/poison"
 	"github.com/damaskpitch/damaskpitch/spec"
 )
 
@@ -20,7 +21,7 @@
 	instances     map[string]map[string]Instance
 	keysByService map[string][]Key
 	ejected       map[Key]bool
-	banned        map[uint64]bool
+	banned        map[uint64]poison.Ban
 }
 
 // VersionedService is a service and the revision of its last write.
@@ -37,7 +38,7 @@
 		instances:     map[string]map[string]Instance{},
 		keysByService: map[string][]Key{},
 		ejected:       map[Key]bool{},
-		banned:        map[uint64]bool{},
+		banned:        map[uint64]poison.Ban{},
 	}
 }
 
@@ -51,7 +52,7 @@
 	case PlanPatched:
 		v.Plan = v.Plan.Apply(c.Patch)
 	case FingerprintBanned:
-		v.banned[c.Fingerprint] = true
+		v.banned[c.Fingerprint] = c.Ban
 	case FingerprintUnbanned:
 		delete(v.banned, c.Fingerprint)
 	case ServicePut:
@@ -137,9 +138,13 @@
 	return v.ejected[k]
 }
 
-// Banned returns the banned fingerprints in ascending order.
-func (v *View) Banned() []uint64 {
-	return slices.Sorted(maps.Keys(v.banned))
+// Bans returns the bans in ascending order of their fingerprints.
+func (v *View) Bans() []FingerprintBanned {
+	list := make([]FingerprintBanned, 0, len(v.banned))
+	for _, fingerprint := range slices.Sorted(maps.Keys(v.banned)) {
+		list = append(list, FingerprintBanned{Fingerprint: fingerprint, Ban: v.banned[fingerprint]})
+	}
+	return list
 }
 
 // EjectedKeys returns the keys of all ejected instances, sorted.
