Requests that crash servers are recognised whatever the size of their body

Cause: only a body that is buffered whole (64 KiB) had a fingerprint. Longer ones had none, so no crash was counted against them and no ban was looked up.

Change: the fingerprint of a streamed body covers its beginning and its declared length, so that it is known before anything is sent on. Two uploads of one path that agree in both are taken for one request; completed runs end a ban that hits both.

--- a/node/attempt.go
+++ b/node/attempt.go
@@ -111,9 +111,7 @@
 		tryCmd:    try,
 		startedAt: time.Now(),
 	}
-	if e.body.whole() {
-		e.fingerprint()
-	}
+	e.fingerprint()
 	res.ctx, res.cancel = context.WithCancel(ctx)
 	return res, true
 }
@@ -339,9 +337,7 @@
 	if target := e.match.Target(); target > 0 {
 		r.Header.Set(_headerTarget, formatMillis(max(0, target-time.Since(e.startedAt))))
 	}
-	if e.body.whole() {
-		r.Header.Set(_headerFingerprint, strconv.FormatUint(e.fingerprint(), 16))
-	}
+	r.Header.Set(_headerFingerprint, strconv.FormatUint(e.fingerprint(), 16))
 	if res.hint != (route.Hint{}) {
 		r.Header.Set(_headerHint, formatHint(res.hint))
 	}
--- a/node/claim.go
+++ b/node/claim.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -60,9 +61,9 @@
 	return call.ClaimedMsg{Claim: call.ClaimFailed}
 }
 
-// fingerprint returns a hash of the service, method, URI and body. It tells a resent
-// request from a different one with the same key, and identifies requests that crash
-// backend servers.
+// fingerprint returns a hash of the service, method, URI and body; of a body that is
+// streamed, of its beginning and its declared length. It tells a resent request from a
+// different one with the same key, and identifies requests that crash backend servers.
 func (e *exchange) fingerprint() uint64 {
 	if e.cachedFingerprint != 0 {
 		return e.cachedFingerprint
@@ -70,6 +71,9 @@
 	d := xxhash.New()
 	_, _ = d.WriteString(e.match.Service.Name + " " + e.r.Method + " " + e.r.URL.RequestURI() + "\n")
 	_, _ = d.Write(e.body.buffered)
+	if !e.body.whole() {
+		_, _ = d.WriteString("\n" + strconv.FormatInt(e.r.ContentLength, 10))
+	}
 	e.cachedFingerprint = d.Sum64()
 	return e.cachedFingerprint
 }
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -103,7 +103,7 @@
 	service.mu.Lock()
 	service.budget = service.budget.AddRequest(retry.DefaultQuota(), s.now())
 	service.mu.Unlock()
-	if e.body.whole() && e.refuseBanned(ctx) {
+	if e.refuseBanned(ctx) {
 		return
 	}
 	e.search = probe.New(probe.Config{Start: s.now(), Deadline: s.now() + timeout})
--- a/trials/poison_test.go
+++ b/trials/poison_test.go
@@ -1,6 +1,7 @@
 package trials
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
@@ -47,6 +48,42 @@
 	}
 }
 
+// TestDeadlyUpload repeats a request whose body is too long to be buffered and that
+// crashes the backend servers that run it. It guards against a request that is never
+// recognised because of its size: it may crash at most two of eight servers before it is
+// refused for good.
+func TestDeadlyUpload(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.startAll()
+	f.putService(0, lookupService().WithFloor(6), "first")
+	var servers []*fake.Backend
+	for n := range 8 {
+		servers = append(servers, f.startBackend(fmt.Sprintf("lookup-%d", n+1), "lookup", n%2))
+	}
+	f.awaitInstances(8)
+	deadly := bytes.Repeat([]byte("deadly upload. "), 100<<10/15)
+	f.eventually("refusal of the upload", func() error {
+		status, body, err := f.call(http.MethodPost, "http://"+f.nodes[0].Caller+"/renew/deadly", nil, deadly)
+		if err != nil || status != http.StatusUnprocessableEntity {
+			return fmt.Errorf("status %d: %s, %w", status, body, err)
+		}
+		return nil
+	})
+	crashed := 0
+	for _, server := range servers {
+		if server.Stopped() {
+			crashed++
+		}
+	}
+	if crashed > 2 {
+		t.Errorf("%d of 8 backend servers crashed", crashed)
+	}
+	harmless := bytes.Repeat([]byte("harmless file. "), 100<<10/15)
+	if status, body, err := f.call(http.MethodPost, "http://"+f.nodes[1].Caller+"/renew/other", nil, harmless); err != nil || status == http.StatusUnprocessableEntity {
+		t.Errorf("another upload of the same length: status %d: %s, %v", status, body, err)
+	}
+}
+
 // TestPopularRequestAtUnrelatedCrashes crashes two of eight backend servers for a reason
 // of their own while copies of one new request run at all of them. It guards against the
 // ban of a popular request by crashes that it did not cause.
