A crash after a restart of the instance counts as another one

Cause: crashes were numbered within the state of an instance, which begins anew when it restarts. Its second crash had the number of its first and counted as a repeated report. Change: a crash is identified by its time since the node's start.

--- a/node/backend.go
+++ b/node/backend.go
@@ -43,8 +43,7 @@
 	bodyTimePerMiB time.Duration // smoothed time of a response body per MiB; 0 if unknown
 	notice         notice        // of its last response
 	responded      bool          // since it was announced here
-	crashes        uint64        // that this process has reported
-	crashedAt      time.Duration // when the last of them was reported
+	crashedAt      time.Duration // of its last crash that this process noticed; 0 if none
 	// pooled reuses connections, for requests that may be repeated. unpooled opens a
 	// connection for each request.
 	pooled, unpooled *http.Transport
--- a/node/crash.go
+++ b/node/crash.go
@@ -55,17 +55,17 @@
 	}()
 }
 
-// recordCrash returns the number of the crash at an instance that ended a request, and
-// the fingerprints of the requests in flight, without those that have succeeded recently.
-// It returns 0 for a crash that is recorded already: the request began before it.
+// recordCrash returns a number that tells the crash at an instance that ended a request
+// apart from others, and the fingerprints of the requests in flight, without those that
+// have succeeded recently. It returns 0 for a crash that is recorded already: the request
+// began before it.
 func (s *Server) recordCrash(id string, ended *work) (uint64, []uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.backends[id]
-	if b == nil || b.crashes > 0 && ended.startedAt <= b.crashedAt {
+	if b == nil || b.crashedAt > 0 && ended.startedAt <= b.crashedAt {
 		return 0, nil
 	}
-	b.crashes++
 	b.crashedAt = s.now()
 	var fingerprints []uint64
 	for _, w := range b.inFlight {
@@ -73,5 +73,5 @@
 			fingerprints = append(fingerprints, w.fingerprint)
 		}
 	}
-	return b.crashes, s.recentSuccesses.Suspects(fingerprints, s.now())
+	return uint64(b.crashedAt), s.recentSuccesses.Suspects(fingerprints, s.now())
 }
