Other nodes keep a departure while no control host replies

The users' rule binds a confirmation also where the node that gave it was not in touch.

Change: when the control hosts do not record a departure within 0.5 s, the node sends it to three other nodes (0.3 s) and confirms it once one of them has it. They spread it with their rumors and record it at the control hosts once these reply. That an instance has left holds for that start of the instance across epochs of its node, in whichever order the rumors come; a node that has restarted learns from its peers which of its own instances have left. A DELETE for an instance that the node does not know is not confirmed then (503). Weighed: a record at the control hosts alone (no confirmation during an outage); records at neighbours alone (lost when many nodes are killed at once); an order by the births in the reports alone (a late report is of the same start, so it can't tell).

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -62,6 +62,7 @@
 	gossipRound  uint64
 	at           time.Duration
 	rumors       map[view.Key]receivedRumor
+	departures   map[string]int64 // by ID of this node's instances: latest start that has left
 	controlRev   uint64 // the revision that control was learned at, 0 if only configured
 	pruneAt      time.Duration
 	gossipedAt   time.Duration
@@ -78,6 +79,7 @@
 		view:         view.New(),
 		history:      view.NewHistory(0, _history),
 		rumors:       map[view.Key]receivedRumor{},
+		departures:   map[string]int64{},
 		hosts:        map[string]hostState{},
 		controlIndex: int(seed % uint64(max(1, len(cfg.Control)))),
 	}
@@ -97,6 +99,8 @@
 		return m.handleDelta(msg)
 	case LocalInstancesMsg:
 		return m.addLocal(msg)
+	case RumorMsg:
+		return m, viewChanged(m.view, m.mergeRumors([]proto.Rumor{msg.Rumor}, msg.At))
 	case PullProgressMsg:
 		return m.handleProgress(msg), nil
 	case PullFailedMsg:
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -47,6 +47,12 @@
 	Instances []view.Instance
 }
 
+// RumorMsg is a rumor that another node has sent unasked.
+type RumorMsg struct {
+	At    time.Duration
+	Rumor proto.Rumor
+}
+
 // PullProgressMsg reports that another part of the reply to a pull has arrived.
 type PullProgressMsg struct {
 	At     time.Duration
@@ -66,6 +72,7 @@
 func (PullProgressMsg) gossipMsg()   {}
 func (PullFailedMsg) gossipMsg()     {}
 func (LocalInstancesMsg) gossipMsg() {}
+func (RumorMsg) gossipMsg()          {}
 
 // Cmd is an action that the model requests from its caller.
 type Cmd interface{ gossipCmd() }
--- a/gossip/rumor.go
+++ b/gossip/rumor.go
@@ -50,6 +50,9 @@
 		if ok && old.rumor.Instance == i && old.rumor.Member == msg.Member && msg.At < old.at+_rumorRefreshInterval {
 			continue
 		}
+		if ok {
+			r = mergeRumor(old.rumor, r)
+		}
 		m.rumors[r.Key()] = receivedRumor{rumor: r, at: msg.At}
 		affected = append(affected, i.Service)
 	}
@@ -62,7 +65,16 @@
 	var affected []string
 	for _, r := range list {
 		old, ok := m.rumors[r.Key()]
-		if r.Check() != nil || r.Member.Node == m.cfg.Node || m.supersedes(r) || ok && !r.NewerThan(old.rumor) {
+		switch {
+		case r.Check() != nil:
+			continue
+		case r.Member.Node == m.cfg.Node:
+			affected = append(affected, m.learnDeparture(r)...)
+			continue
+		case ok:
+			r = mergeRumor(old.rumor, r)
+		}
+		if m.supersedes(r) || ok && r == old.rumor {
 			continue
 		}
 		m.rumors[r.Key()] = receivedRumor{rumor: r, at: at}
@@ -73,11 +85,48 @@
 	return affected
 }
 
+// mergeRumor returns the newer of two rumors about an instance. An instance that has left
+// in either of them has left, unless the newer one is about a later start.
+func mergeRumor(old, r proto.Rumor) proto.Rumor {
+	newer, older := old, r
+	if r.NewerThan(old) {
+		newer, older = r, old
+	}
+	if born, left := older.Departure(); left && newer.Instance.Born == born {
+		newer.Instance = newer.Instance.WithLeaving()
+	}
+	return newer
+}
+
+// learnDeparture records what this node has said of its own instance before it started.
+func (m Model) learnDeparture(r proto.Rumor) []string {
+	born, left := r.Departure()
+	if !left || born <= m.departures[r.Instance.ID] {
+		return nil
+	}
+	m.departures[r.Instance.ID] = born
+	return []string{r.Instance.Service}
+}
+
+// Departures returns the instances of this node that have said that they leave, with the
+// latest start that did.
+func (m Model) Departures() map[string]int64 {
+	list := m.view.DeparturesOf(m.cfg.Node)
+	for id, born := range m.departures {
+		list[id] = max(list[id], born)
+	}
+	return list
+}
+
 // supersedes reports whether the view makes a rumor obsolete: it has the same
-// instance, or a later epoch of the node.
+// instance, or a later epoch of the node. That an instance has left holds after a restart
+// of its node too, until the view has it or a later start of the instance.
 func (m Model) supersedes(r proto.Rumor) bool {
 	member, _ := m.view.Member(r.Member.Node)
 	known, ok := m.view.Instance(r.Key())
+	if born, left := r.Departure(); left {
+		return m.view.HasLeft(r.Key(), born) || ok && (known == r.Instance || known.Born > born)
+	}
 	return member.Epoch > r.Member.Epoch || ok && known == r.Instance
 }
 
--- a/node/depart.go
+++ b/node/depart.go
@@ -4,18 +4,30 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damaskpitch/damaskpitch/gossip"
 	"github.com/damaskpitch/damaskpitch/place"
+	"github.com/damaskpitch/damaskpitch/proto"
 	"github.com/damaskpitch/damaskpitch/store"
 	"github.com/damaskpitch/damaskpitch/view"
 )
 
-// _departureTimeout is how long the control hosts may take to record that an instance
-// leaves. An instance waits a second for the reply.
-const _departureTimeout = 600 * time.Millisecond
+const (
+	// _departureTimeout is how long the control hosts may take to record that an instance
+	// leaves, and _entrustTimeout how long other nodes may then take. An instance waits a
+	// second for the reply.
+	_departureTimeout = 500 * time.Millisecond
+	_entrustTimeout   = 300 * time.Millisecond
+	// _custodians is how many other nodes keep a departure while the control hosts do not
+	// reply, and _maxCustody how many departures a node keeps.
+	_custodians = 3
+	_maxCustody = 1000
+)
 
 // errDepartureNotRecorded means that nothing outside this process remembers that an
 // instance leaves.
@@ -43,20 +55,101 @@
 	return true
 }
 
-// recordDeparture records that an instance leaves. A start of 0 cannot be told from a
-// later one, and is not recorded.
+// recordDeparture records that an instance leaves: at the control hosts, or while they do
+// not reply at other nodes. A start of 0 cannot be told from a later one, and is not
+// recorded.
 func (s *Server) recordDeparture(ctx context.Context, key view.Key, born int64) error {
 	if born == 0 {
 		return nil
 	}
+	err := s.submitDeparture(ctx, key, born)
+	if err == nil {
+		return nil
+	}
+	s.mu.Lock()
+	b := s.backends[key.ID]
+	s.mu.Unlock()
+	if b == nil {
+		return errors.Mark(err, errDepartureNotRecorded)
+	}
+	rumor := proto.Rumor{Member: s.member(), Timestamp: uint64(s.now().Milliseconds()), Instance: b.instance.WithLeaving()}
+	if s.entrust(ctx, rumor) == 0 {
+		return errors.Mark(err, errDepartureNotRecorded)
+	}
+	s.keepCustody(rumor)
+	return nil
+}
+
+// submitDeparture records a departure at the control hosts.
+func (s *Server) submitDeparture(ctx context.Context, key view.Key, born int64) error {
 	ctx, cancel := context.WithTimeout(ctx, _departureTimeout)
 	defer cancel()
 	if _, err := s.submit(ctx, place.FleetGroup, store.RecordDeparture{Key: key, Born: born}); err != nil {
-		return errors.Mark(errors.Errorf("record departure: %w", err), errDepartureNotRecorded)
+		return errors.Errorf("record departure: %w", err)
 	}
 	return nil
 }
 
+// entrust sends a departure to other nodes and returns how many have it.
+func (s *Server) entrust(ctx context.Context, rumor proto.Rumor) int {
+	ctx, cancel := context.WithTimeout(ctx, _entrustTimeout)
+	defer cancel()
+	var peers []string
+	if !s.viewSync.withModel(ctx, func(m gossip.Model) { peers = m.RandomPeers(_custodians, "") }) {
+		return 0
+	}
+	var kept atomic.Int64
+	var calls sync.WaitGroup
+	for _, peer := range peers {
+		calls.Go(func() {
+			if _, err := s.client.Call(ctx, peer, proto.Entrust{Rumor: rumor}); err == nil {
+				kept.Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	s.log.Info("departure entrusted to other nodes", slog.String("instance", rumor.Instance.ID),
+		slog.Int64("kept", kept.Load()), slog.Int("asked", len(peers)))
+	return int(kept.Load())
+}
+
+// acceptDeparture keeps a departure for another node.
+func (s *Server) acceptDeparture(ctx context.Context, rumor proto.Rumor) error {
+	if _, left := rumor.Departure(); !left || s.isStopping() {
+		return errDepartureNotRecorded
+	}
+	s.viewSync.addRumor(ctx, rumor)
+	s.keepCustody(rumor)
+	return ctx.Err()
+}
+
+// keepCustody keeps a departure until the control hosts have recorded it.
+func (s *Server) keepCustody(rumor proto.Rumor) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.custody = append(s.custody, rumor)
+	s.custody = s.custody[max(0, len(s.custody)-_maxCustody):]
+}
+
+// submitCustody records the departures that this node keeps at the control hosts, once
+// these reply.
+func (s *Server) submitCustody(ctx context.Context) {
+	s.mu.Lock()
+	kept := s.custody
+	s.custody = nil
+	s.mu.Unlock()
+	for n, rumor := range kept {
+		err := s.submitDeparture(ctx, rumor.Key(), rumor.Instance.Born)
+		if err != nil {
+			s.mu.Lock()
+			s.custody = append(kept[n:len(kept):len(kept)], s.custody...)
+			s.mu.Unlock()
+			return
+		}
+		s.log.Info("kept departure recorded", slog.String("node", rumor.Member.Node), slog.String("instance", rumor.Instance.ID))
+	}
+}
+
 // isRecordedDeparture reports whether the departure of this start of an instance is known
 // to be recorded.
 func (s *Server) isRecordedDeparture(id string, born int64) bool {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -312,6 +312,9 @@
 			Excluded: r.Instance.Leaving || v.HasLeft(r.Key(), r.Instance.Born),
 		}
 		at := slices.IndexFunc(list, func(known route.Candidate) bool { return known.Key == c.Key })
+		if at >= 0 && list[at].Born > c.Born {
+			continue
+		}
 		if at >= 0 {
 			list[at] = c
 			continue
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -29,6 +29,7 @@
 		if err := s.sendHeartbeat(ctx); err != nil && ctx.Err() == nil {
 			s.log.Debug("heartbeat failed", slog.Any("error", err))
 		}
+		s.submitCustody(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
--- a/node/peer.go
+++ b/node/peer.go
@@ -41,6 +41,8 @@
 		return proto.ProbeReply{Reached: err == nil}, nil
 	case proto.Hello:
 		return proto.HelloReply{Name: s.cfg.Settings.Name, ID: s.epoch.Load()}, nil
+	case proto.Entrust:
+		return proto.Ack{}, s.acceptDeparture(ctx, msg.Rumor)
 	case proto.TakeOver:
 		return s.handOver(ctx)
 	}
--- a/node/server.go
+++ b/node/server.go
@@ -74,6 +74,7 @@
 	backends        map[string]*backend
 	lastReports     map[string]lastReport // by instance ID
 	departures      map[string]int64      // by instance ID: latest start that is recorded as leaving
+	custody         []proto.Rumor         // departures that the control hosts do not have yet
 	leaders         map[uint32]string     // last known address of the leader, by replication group
 	unreachable     map[string]bool       // addresses of unreachable owners
 	recentSuccesses *poison.RecentSuccesses
--- a/node/viewsync.go
+++ b/node/viewsync.go
@@ -85,6 +85,11 @@
 	}
 }
 
+// addRumor adds a rumor that another node has sent unasked, or this one keeps itself.
+func (v *viewSync) addRumor(ctx context.Context, r proto.Rumor) {
+	v.report(ctx, gossip.RumorMsg{At: v.server.now(), Rumor: r})
+}
+
 func (v *viewSync) run(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -129,7 +134,7 @@
 			go v.pull(ctx, cmd)
 		case gossip.ViewChangedCmd:
 			v.server.fleet.update(v.model.View(), cmd.Services, cmd.All)
-			v.server.viewChanged(v.model.View(), cmd, msg)
+			v.server.viewChanged(v.model, cmd, msg)
 		case gossip.SourceRejectedCmd:
 			v.server.log.Error("rejected a view source of another cluster",
 				slog.String("addr", cmd.Addr), slog.Uint64("cluster", cmd.Cluster))
@@ -190,7 +195,8 @@
 
 // viewChanged applies a new view to this node's own instances, and sends a
 // heartbeat early if the view does not have this node's current epoch.
-func (s *Server) viewChanged(v *view.View, cmd gossip.ViewChangedCmd, cause gossip.Msg) {
+func (s *Server) viewChanged(m gossip.Model, cmd gossip.ViewChangedCmd, cause gossip.Msg) {
+	v := m.View()
 	s.stats.rev.Update(float64(cmd.Rev))
 	s.stats.plan.Update(float64(v.Plan.Version))
 	attrs := []slog.Attr{
@@ -205,7 +211,7 @@
 	s.updateAllLimits()
 	s.endEjections(v)
 	s.testifyToBans()
-	s.learnDepartures(v.DeparturesOf(s.cfg.Settings.Name))
+	s.learnDepartures(m.Departures())
 	if member, ok := v.Member(s.cfg.Settings.Name); !ok || member.Epoch != s.epoch.Load() {
 		s.heartbeatSoon()
 	}
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -52,6 +52,12 @@
 	return view.Key{Node: r.Member.Node, ID: r.Instance.ID}
 }
 
+// Departure returns the start of an instance that the rumor says has left, and whether it
+// says so.
+func (r Rumor) Departure() (int64, bool) {
+	return r.Instance.Born, r.Instance.Leaving && r.Instance.Born > 0
+}
+
 // NewerThan reports whether r supersedes other, a rumor about the same instance.
 func (r Rumor) NewerThan(other Rumor) bool {
 	if r.Member.Epoch != other.Member.Epoch {
@@ -221,6 +227,17 @@
 	return s.Response.Check()
 }
 
+// Entrust asks a node to remember that another node's instance has said that it leaves,
+// while no control host can record it.
+type Entrust struct {
+	Rumor Rumor `json:"rumor"`
+}
+
+// Check returns a FieldError for the first invalid field.
+func (e Entrust) Check() error {
+	return e.Rumor.Check()
+}
+
 // TakeOver asks a running node for the state that its successor needs.
 type TakeOver struct{}
 
@@ -255,5 +272,6 @@
 	)
 	list = append(list, store.LaterTypes()...)
 	list = append(list, RelayQuery{}, ReplicateReply{})
-	return append(list, store.RecentTypes()...)
+	list = append(list, store.RecentTypes()...)
+	return append(list, Entrust{})
 }
--- a/trials/depart_test.go
+++ b/trials/depart_test.go
@@ -56,3 +56,53 @@
 		})
 	}
 }
+
+// TestDepartureWithoutControl guards against the same while no control host replies: other
+// nodes keep the departure, and the control hosts get it when they are back.
+func TestDepartureWithoutControl(t *testing.T) {
+	const (
+		maxReply = time.Second // an instance waits for the reply that long
+		observed = 4 * time.Second
+	)
+	f := startPlatformFleet(t)
+	leaving, other := f.startInstances(t)
+	f.nodes[0].Seeds = []string{f.nodes[1].Peer}
+	f.eventually("both nodes in the view", f.checkConverged)
+	f.kill(f.controls[0].Name)
+	start := time.Now()
+	status, _, err := f.call(http.MethodDelete, "http://"+f.nodes[0].Local+"/v1/instances/"+leaving.id, nil, nil)
+	if took := time.Since(start); status != http.StatusOK || err != nil || took > maxReply {
+		t.Fatalf("departure: status %d after %v, %v", status, took, err)
+	}
+	f.kill(f.nodes[0].Name)
+	time.Sleep(spec.Service{}.WithDefaults().Grace.Std())
+	f.start(f.nodes[0].Name, "node", f.nodes[0], "--platform")
+	f.eventually("plan at the new process", func() error {
+		if status := f.readyStatus(0); status != http.StatusOK {
+			return fmt.Errorf("status %d", status)
+		}
+		return nil
+	})
+	before := len(leaving.requests())
+	if status, err := f.report(0, leaving, "lookup", "ready", 5); status != http.StatusOK || err != nil {
+		t.Errorf("late report: status %d, %v", status, err)
+	}
+	observe := func(phase string) {
+		for n, end := 0, time.Now().Add(observed); time.Now().Before(end); n++ {
+			if n%50 == 0 {
+				_, _ = f.report(1, other, "lookup", "ready", 10+n)
+			}
+			if status, _, _, err := f.sendPlatform(n%2, http.MethodGet, "/a/1", fmt.Sprintf("%s-%d", phase, n)); err != nil || status != http.StatusOK {
+				t.Errorf("%s, request %d: status %d, %v", phase, n, status, err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if got := len(leaving.requests()) - before; got > 0 {
+			t.Errorf("%s: %d requests reached a backend server whose departure was confirmed", phase, got)
+		}
+	}
+	observe("without control")
+	f.startControl(0)
+	_, _ = f.report(0, leaving, "lookup", "ready", 6)
+	observe("control is back")
+}
