--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -63,7 +63,7 @@
 	at           time.Duration
 	rumors       map[view.Key]receivedRumor
 	departures   map[string]int64 // by ID of this node's instances: latest start that has left
-	controlRev   uint64 // the revision that control was learned at, 0 if only configured
+	controlRev   uint64           // the revision that control was learned at, 0 if only configured
 	pruneAt      time.Duration
 	gossipedAt   time.Duration
 	currentUntil time.Duration // control hosts count as reachable until then
