--- a/store/depart.go
+++ b/store/depart.go
@@ -12,7 +12,7 @@
 	// are recognised. Reports are delayed by seconds, or for as long as a partition lasts.
 	_departureTTL = 10 * time.Minute
 	// _maxDepartures bounds the departures that are kept: a quarter of the instances at
-	// the planned size, about 4 MB.
+	// the planned size, 7.5 MB at each node.
 	_maxDepartures = 50000
 )
 
