A failed call excuses only the request that made it

Any failed request of a caller through a node excused a failure of the instance beside it, also one that the instance made up within 3 ms, so that a failing instance stayed in use while another service failed. Cause: only the end of a failed call was kept, and each explained any failure within 0.3 s. Change: its start is kept too; the instance must have been running the request then. TestNestedFailureOfAnotherCaller is new; with the start ignored two of its cases fail.

--- a/node/detect.go
+++ b/node/detect.go
@@ -183,7 +183,7 @@
 // recordResultLocked reports a request's result to the breaker. A failure that a
 // failed nested call explains doesn't count against the instance.
 func (s *Server) recordResultLocked(b *backend, w *work, failed bool) {
-	excused := failed && s.nestedFailures.take(s.now())
+	excused := failed && s.nestedFailures.take(w.startedAt, s.now())
 	if failed {
 		s.log.Info("request failed at instance", slog.String("request", w.request), slog.String("instance", b.instance.ID),
 			slog.Duration("took", w.instanceTime()), slog.Bool("excused", excused),
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -53,7 +53,7 @@
 			e.settleClaim(cmd.Outcome)
 		case call.DeliverCmd:
 			if isServerFailure(e.lastResult.response) {
-				e.server.recordNestedFailure(e.match.Service.Name)
+				e.server.recordNestedFailure(e.match.Service.Name, e.startedAt)
 			}
 			e.copyResponse(e.lastResult)
 		case call.FailCmd:
@@ -152,7 +152,7 @@
 // respondFailure tells the caller that the request was not run, or may have run.
 // If an instance answered with a failure, that response is sent instead.
 func (e *exchange) respondFailure(cmd call.FailCmd) {
-	e.server.recordNestedFailure(e.match.Service.Name)
+	e.server.recordNestedFailure(e.match.Service.Name, e.startedAt)
 	e.server.log.Info("request failed", slog.String("request", e.id),
 		slog.String("from", e.r.RemoteAddr), slog.String("service", e.match.Service.Name), slog.String("fate", string(cmd.Execution)),
 		slog.String("reason", cmd.Reason), slog.Int("tries", e.lifecycle.Attempts()), slog.Int("arrived", e.lifecycle.Deliveries()),
--- a/node/nested_test.go
+++ b/node/nested_test.go
@@ -9,22 +9,46 @@
 // within _nestedFailureWindow.
 func TestNestedFailures(t *testing.T) {
 	var f nestedFailures
-	if f.take(0) {
+	if f.take(0, 0) {
 		t.Error("failure explained without a failed call")
 	}
-	f.add(time.Second)
-	f.add(time.Second)
+	call := nestedFailure{startedAt: time.Second, at: time.Second}
+	f.add(call)
+	f.add(call)
 	for n, want := range []bool{true, true, false} {
-		if got := f.take(time.Second + _nestedFailureWindow/2); got != want {
+		if got := f.take(0, time.Second+_nestedFailureWindow/2); got != want {
 			t.Errorf("failure %d after two failed calls: explained %v", n+1, got)
 		}
 	}
-	f.add(time.Second)
-	if f.take(time.Second + _nestedFailureWindow) {
+	f.add(call)
+	if f.take(0, time.Second+_nestedFailureWindow) {
 		t.Error("failure explained by an expired call")
 	}
 }
 
+// TestNestedFailureOfAnotherCaller guards against an instance that fails quickly and is
+// excused by failed requests of other callers on its host: the instance can only have made
+// a call that began while it ran the request.
+func TestNestedFailureOfAnotherCaller(t *testing.T) {
+	const at = 2 * time.Second
+	cases := []struct {
+		name                          string
+		callStarted, callEnded, began time.Duration
+		want                          bool
+	}{
+		{"made by the request", at - 90*time.Millisecond, at - 10*time.Millisecond, at - 100*time.Millisecond, true},
+		{"began before the request", at - 150*time.Millisecond, at - 10*time.Millisecond, at - 100*time.Millisecond, false},
+		{"ended before the request", at - 150*time.Millisecond, at - 120*time.Millisecond, at - 100*time.Millisecond, false},
+	}
+	for _, c := range cases {
+		var f nestedFailures
+		f.add(nestedFailure{startedAt: c.callStarted, at: c.callEnded})
+		if got := f.take(c.began, at); got != c.want {
+			t.Errorf("%s: explained %v", c.name, got)
+		}
+	}
+}
+
 // TestShortDeadline checks which requests ended too early to count against their
 // instance: the caller allowed less time than such requests occasionally take.
 func TestShortDeadline(t *testing.T) {
