A failure that a failed call explains is no evidence for an ejection

Cause: issuing-office refused everything from 13 to 21 s. Lookups that called it failed with it. The breaker leaves such failures out, the detector counted them, and six instances of lookup-desk were ejected for 10 s each from 19.1 s to 21.4 s, the last after the trouble. All ingresses knew all six; views, ramps and queues had no part in it.

Change: an excused failure counts for the detector as a request whose caller left. TestNestedFailuresAreNoEvidence failed before: "all explained by a failed call: unhealthy true"; instances that fail by themselves, or half of the time, are found as before.

--- a/node/detect.go
+++ b/node/detect.go
@@ -100,8 +100,11 @@
 	}
 	delete(b.inFlight, ref)
 	s.recordBodyTimeLocked(b, w)
-	if outcome != workCanceled {
-		s.recordResultLocked(b, w, outcome == workFailed)
+	excused := outcome != workCanceled && s.recordResultLocked(b, w, outcome == workFailed)
+	if excused {
+		// Neither a success nor a failure of the instance.
+		s.updateHealthLocked(b, detect.CancelMsg{At: s.now(), Elapsed: w.instanceTime(), Median: w.kindMedian})
+		return
 	}
 	if outcome == workCanceled {
 		if w.probe {
@@ -181,8 +184,9 @@
 }
 
 // recordResultLocked reports a request's result to the breaker. A failure that a
-// failed nested call explains doesn't count against the instance.
-func (s *Server) recordResultLocked(b *backend, w *work, failed bool) {
+// failed nested call explains doesn't count against the instance; it returns whether this
+// is one.
+func (s *Server) recordResultLocked(b *backend, w *work, failed bool) bool {
 	excused := failed && s.nestedFailures.take(w.startedAt, s.now())
 	if failed {
 		s.log.Info("request failed at instance", slog.String("request", w.request), slog.String("instance", b.instance.ID),
@@ -198,6 +202,7 @@
 			At: s.now(), Failed: failed, Latency: w.instanceTime(), StartedAt: w.startedAt, Typical: w.typicalTime,
 		})
 	}
+	return excused
 }
 
 // updateBreakerLocked updates an instance's breaker and passes its state to the gate.
--- a/node/nested_test.go
+++ b/node/nested_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/damaskpitch/damaskpitch/ledger"
 )
 
 // TestNestedFailures checks that a failed nested call explains one failure, and only
@@ -49,6 +51,44 @@
 	}
 }
 
+// TestNestedFailuresAreNoEvidence guards against the ejection of a sound instance whose
+// requests fail because a service that they call refuses them: it stayed out of service for
+// seconds after that service was well again.
+func TestNestedFailuresAreNoEvidence(t *testing.T) {
+	const requests = 200
+	cases := []struct {
+		name      string
+		explained int // of ten failures
+		want      bool
+	}{
+		{"all explained by a failed call", 10, false},
+		{"none explained", 0, true},
+		{"half of them explained", 5, true},
+	}
+	for _, c := range cases {
+		s := newReportServer(t)
+		s.cfg.Settings.Service = "lookup"
+		sequence := int64(1)
+		s.handleReport("i-1", Report{Service: "lookup", Addr: "127.0.0.1:1", Slots: 4, State: Ready, Sequence: &sequence, Born: 1})
+		for n := range requests {
+			ref := ledger.Ref{Node: "n1", Seq: uint64(n)}
+			s.startWork("i-1", ref, 0, 0, "", false)
+			if n%10 < c.explained {
+				s.recordNestedFailure("issuing", time.Now())
+			}
+			s.mu.Lock()
+			s.backends["i-1"].probeCountedAt = -time.Hour // count each probe
+			s.mu.Unlock()
+			s.finishWork("i-1", ref, workFailed)
+		}
+		s.mu.Lock()
+		if got := s.backends["i-1"].health.Unhealthy(); got != c.want {
+			t.Errorf("%s: unhealthy %t", c.name, got)
+		}
+		s.mu.Unlock()
+	}
+}
+
 // TestShortDeadline checks which requests ended too early to count against their
 // instance: the caller allowed less time than such requests occasionally take.
 func TestShortDeadline(t *testing.T) {
