A node answers for its own attempts when its listener has closed

Cause: the attempt went to the node's own instance over the node's own peer listener, on a kept connection, 93 ms before the stop closed the listener's idle connections; nothing had read it. The node then asked itself over a new connection whether the attempt had started, which the closed listener refused, and other nodes in vain to ask it. Change: a node that is the owner of an attempt answers in its own process. What has not started is revoked there, so it can go to another instance or be refused truly.

Measured: TestOwnAttemptInStop failed before: "never arrived: state , known false, want dead" after 1.2 s.

--- a/node/query.go
+++ b/node/query.go
@@ -19,14 +19,18 @@
 const _maxRelayPeers = 2
 
 // queryAttempt asks the owner for the state of an attempt, and to revoke it if revoke
-// is set: over a new connection, or through other nodes if that fails.
-// It also asks for the response.
+// is set: over a new connection, or through other nodes if that fails. This process answers
+// for its own instances, also when a stop has closed its listener. It also asks for the
+// response.
 func (s *Server) queryAttempt(ctx context.Context, res *attemptResult, revoke bool) (proto.AttemptStatus, bool) {
 	// The outcome is recorded even if the caller has disconnected.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*_queryTimeout)
 	defer cancel()
 	c := res.choice.Candidate
 	msg := proto.AttemptQuery{Attempt: res.ref, Instance: c.Key.ID, OwnerEpoch: c.Epoch, Revoke: revoke, Response: true}
+	if c.Key.Node == s.cfg.Settings.Name && c.Epoch == s.epoch.Load() {
+		return s.attemptStatus(msg), true
+	}
 	status, err := s.queryOwner(ctx, c.Addr, msg)
 	if err == nil {
 		return status, true
