A replica that stood still does not take that for the silence of others

Each new leader was gone after its first election timeout.

Cause, by the code and shown in the model: a leader stamps a reply with the time of the last tick, and judges by these stamps at a tick of the present. After a flush of more than 0.5 s the replies that waited were stamped with the time before it, so the leader stepped down with them in hand; and where the timer came first it judged before it read them. It also counted time in which it had sent no heartbeat as the followers' silence.

Change: the loop sets the clock, handles what other replicas have sent, then requests, then ticks. A leader counts silence from when a reply was handled, less the time by which its own tick was late; a follower that stood still gives its leader one more heartbeat. What limits how long a leader may say that it is current, and votes, keep the earlier stamps: the time does not get longer. Pre-vote did not help since it is the leader that gave up.

--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -10,26 +10,29 @@
 	"github.com/damaskpitch/damaskpitch/store"
 )
 
-// messages converts the item and those queued behind it into messages for
-// Replica.process. Commands are batched into one ProposeMsg.
-func (r *Replica) messages(item any) []any {
-	var msgs []any
+// messages converts the item, if any, and those that wait behind it into messages for
+// Replica.process: first those of other replicas, then the requests. Commands are batched
+// into one ProposeMsg.
+func (r *Replica) messages(first any) []any {
+	var msgs, requests []any
+	switch first.(type) {
+	case nil:
+	case raft.Msg, delivery:
+		msgs = append(msgs, first)
+	default:
+		requests = append(requests, first)
+	}
+	msgs = append(msgs, drain(r.received, _maxBatch-len(msgs))...)
 	var batch raft.ProposeMsg
-	for range _maxBatch {
+	for _, item := range append(requests, drain(r.inbox, _maxBatch-len(requests))...) {
 		switch item := item.(type) {
 		case command:
 			batch.Proposals = r.propose(batch.Proposals, item)
 		case barrier:
 			msgs = append(msgs, raft.ReadMsg{ID: r.register(item.reply)})
-		case raft.Msg, encodedSnapshot, delivery:
+		case encodedSnapshot:
 			msgs = append(msgs, item)
 		}
-		select {
-		case item = <-r.inbox:
-			continue
-		default:
-		}
-		break
 	}
 	if len(batch.Proposals) > 0 {
 		msgs = append(msgs, batch)
@@ -37,6 +40,20 @@
 	return msgs
 }
 
+// drain returns up to n items that wait in a queue.
+func drain(queue <-chan any, n int) []any {
+	var items []any
+	for range n {
+		select {
+		case item := <-queue:
+			items = append(items, item)
+		default:
+			return items
+		}
+	}
+	return items
+}
+
 func (r *Replica) propose(list []raft.Proposal, c command) []raft.Proposal {
 	data, err := encodeEntry(store.Entry{At: r.logTime(), Command: c.command})
 	if err != nil {
--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -58,8 +58,11 @@
 // Replica runs a raft.Model and applies its committed entries to a store.Model.
 type Replica struct {
 	cfg   ReplicaConfig
-	inbox chan any
-	done  chan struct{}
+	// received holds messages from other replicas, which are handled before the requests
+	// and encoded snapshots in inbox.
+	received chan any
+	inbox    chan any
+	done     chan struct{}
 
 	currentUntil atomic.Int64 // time.Duration since Start, as of the last message or tick
 
@@ -126,6 +129,7 @@
 	}
 	r := &Replica{
 		cfg:      cfg,
+		received: make(chan any, _inboxCapacity),
 		inbox:    make(chan any, _inboxCapacity),
 		done:     make(chan struct{}),
 		state:    state,
@@ -145,16 +149,19 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		var msgs []any
+		var first any
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
-		case item := <-r.inbox:
-			msgs = r.messages(item)
+		case first = <-r.received:
+		case first = <-r.inbox:
 		}
-		msgs = append(msgs, raft.TickMsg{At: time.Since(r.cfg.Start)})
-		for _, msg := range msgs {
+		// What has waited while the loop stood still is handled before the tick judges who
+		// is silent.
+		now := time.Since(r.cfg.Start)
+		msgs := append([]any{raft.ClockMsg{At: now}}, r.messages(first)...)
+		for _, msg := range append(msgs, raft.TickMsg{At: now}) {
 			if err := r.process(msg); err != nil {
 				return errors.Errorf("group %d: %w", r.cfg.Group, err)
 			}
@@ -190,7 +197,7 @@
 // Step queues a message for the Raft model.
 func (r *Replica) Step(ctx context.Context, msg raft.Msg) error {
 	select {
-	case r.inbox <- msg:
+	case r.received <- msg:
 		return nil
 	case <-r.done:
 		return ErrStopped
@@ -202,7 +209,7 @@
 // deliver queues a message whose replies go back with the call that brought it.
 func (r *Replica) deliver(ctx context.Context, d delivery) error {
 	select {
-	case r.inbox <- d:
+	case r.received <- d:
 		return nil
 	case <-r.done:
 		return ErrStopped
--- a/raft/members.go
+++ b/raft/members.go
@@ -72,7 +72,7 @@
 		}
 		voters++
 		f := m.followers[p.ID]
-		if f != nil && m.now >= f.lastReply+_removalTimeouts*m.cfg.ElectionTimeout {
+		if f != nil && m.now >= f.heardAt+_removalTimeouts*m.cfg.ElectionTimeout {
 			silent = p.ID
 		}
 	}
--- a/raft/messages.go
+++ b/raft/messages.go
@@ -8,6 +8,10 @@
 // TickMsg advances the model's clock to the time since the process started.
 type TickMsg struct{ At time.Duration }
 
+// ClockMsg advances the clock without acting on it, for the messages that have waited until
+// then. A TickMsg follows them.
+type ClockMsg struct{ At time.Duration }
+
 // ReceiveMsg is a message from another replica.
 type ReceiveMsg struct {
 	From uint64
@@ -51,6 +55,7 @@
 type TransferMsg struct{}
 
 func (TickMsg) raftMsg()       {}
+func (ClockMsg) raftMsg()      {}
 func (ReceiveMsg) raftMsg()    {}
 func (ProposeMsg) raftMsg()    {}
 func (ReadMsg) raftMsg()       {}
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -50,6 +50,7 @@
 type Model struct {
 	cfg        Config
 	now        time.Duration
+	tickedAt   time.Duration // of the last TickMsg; what is handled now has come since
 	role       Role
 	term       uint64
 	vote       uint64
@@ -79,7 +80,8 @@
 	match          uint64
 	next           uint64
 	round          uint64
-	lastReply      time.Duration
+	lastReply      time.Duration // no later than the last reply came; limits how long the leader is current
+	heardAt        time.Duration // when the last reply was handled, and later by what this replica stood still
 	snapshotSent   time.Duration // time of the last snapshot, 0 if none is pending
 	snapshotRound  uint64        // round of the last snapshot
 	snapshotMissed bool          // a later round was acknowledged without the snapshot
@@ -144,6 +146,8 @@
 	switch msg := msg.(type) {
 	case TickMsg:
 		cmds = m.tick(msg.At)
+	case ClockMsg:
+		m.advance(msg.At)
 	case ReceiveMsg:
 		cmds = m.receive(msg)
 	case ProposeMsg:
@@ -164,8 +168,29 @@
 	return m, cmds
 }
 
-func (m *Model) tick(now time.Duration) []Cmd {
+// advance sets the clock. A replica that stood still past its next tick has heard nobody
+// meanwhile: that time does not count as the silence of the others.
+func (m *Model) advance(now time.Duration) {
+	if now <= m.now {
+		return
+	}
+	late := now - m.NextTick()
 	m.now = now
+	if late <= 0 {
+		return
+	}
+	for _, f := range m.followers {
+		f.heardAt += late
+	}
+	if m.role == Follower && m.leader != 0 && late > m.cfg.HeartbeatInterval {
+		// What the leader has sent meanwhile may still be on its way to this replica.
+		m.deadline = max(m.deadline, now+m.cfg.HeartbeatInterval)
+	}
+}
+
+func (m *Model) tick(now time.Duration) []Cmd {
+	m.advance(now)
+	m.tickedAt = now
 	if m.role == Leader {
 		return m.leaderTick()
 	}
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -5,7 +5,7 @@
 // leaderTick sends heartbeats, and steps down when no quorum responds.
 func (m *Model) leaderTick() []Cmd {
 	alive := func(id uint64) bool {
-		return id == m.cfg.ID || m.now < m.followers[id].lastReply+m.cfg.ElectionTimeout
+		return id == m.cfg.ID || m.now < m.followers[id].heardAt+m.cfg.ElectionTimeout
 	}
 	if !m.hasQuorum(alive) {
 		return m.becomeFollower(m.term, 0)
@@ -147,7 +147,7 @@
 	if term > m.term || m.role != Follower || m.leader != from {
 		cmds = m.becomeFollower(term, from)
 	}
-	m.leaderContact = m.now
+	m.leaderContact = m.tickedAt
 	m.deadline = m.now + m.electionTimeout()
 	return cmds
 }
@@ -160,7 +160,8 @@
 	if m.role != Leader || r.Term < m.term || f == nil {
 		return nil
 	}
-	f.lastReply = m.now
+	f.lastReply = m.tickedAt
+	f.heardAt = m.now
 	f.round = max(f.round, r.Round)
 	f.snapshotMissed = f.snapshotMissed || f.snapshotSent > 0 && r.Round > f.snapshotRound && r.Match < m.log.snapshot.Index
 	cmds := m.answerReads()
