Bytes bound what is under way between control hosts

Cause: appends were bounded by entries, 256 in one and 1,024 under way, whatever their size. A heartbeat carried 256 more beyond the full window, and each heartbeat without progress of the follower, every 100 ms, sent everything that it had not acknowledged anew. Evidence: TestBulkIsBounded on the earlier code: 335,544,320 bytes sent in 2 s to a follower that replies and has saved nothing, 4 MiB in one message.

Change: 256 KiB in one message and 1 MiB under way for each follower, beside the counts; a heartbeat at a full window carries nothing; what is not acknowledged is sent again after three heartbeats without progress (a lost message shows at the next heartbeat's reply, as before). One turn of a replica's loop proposes 1 MiB at most.

Measured: TestBulkIsBounded: 7,340,032 bytes in 2 s, 256 KiB in one message.

--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -14,25 +14,41 @@
 // Replica.process: first those of other replicas, then the requests. Commands are batched
 // into one ProposeMsg.
 func (r *Replica) messages(first any) []any {
-	var msgs, requests []any
+	var msgs []any
+	request := first
 	switch first.(type) {
-	case nil:
 	case raft.Msg, delivery:
 		msgs = append(msgs, first)
-	default:
-		requests = append(requests, first)
+		request = nil
+	}
+	for len(msgs) < _maxBatch {
+		msg := poll(r.received)
+		if msg == nil {
+			break
+		}
+		msgs = append(msgs, msg)
 	}
-	msgs = append(msgs, drain(r.received, _maxBatch-len(msgs))...)
 	var batch raft.ProposeMsg
-	for _, item := range append(requests, drain(r.inbox, _maxBatch-len(requests))...) {
-		switch item := item.(type) {
+	size := 0
+	for n := 0; n < _maxBatch && size < _maxBatchBytes; n++ {
+		if request == nil {
+			request = poll(r.inbox)
+		}
+		switch item := request.(type) {
 		case command:
 			batch.Proposals = r.propose(batch.Proposals, item)
+			if last := len(batch.Proposals) - 1; last >= 0 {
+				size += len(batch.Proposals[last].Data)
+			}
 		case barrier:
 			msgs = append(msgs, raft.ReadMsg{ID: r.register(item.reply)})
 		case encodedSnapshot:
 			msgs = append(msgs, item)
 		}
+		if request == nil {
+			break
+		}
+		request = nil
 	}
 	if len(batch.Proposals) > 0 {
 		msgs = append(msgs, batch)
@@ -40,18 +56,14 @@
 	return msgs
 }
 
-// drain returns up to n items that wait in a queue.
-func drain(queue <-chan any, n int) []any {
-	var items []any
-	for range n {
-		select {
-		case item := <-queue:
-			items = append(items, item)
-		default:
-			return items
-		}
+// poll returns an item that waits in a queue, or nil.
+func poll(queue <-chan any) any {
+	select {
+	case item := <-queue:
+		return item
+	default:
+		return nil
 	}
-	return items
 }
 
 func (r *Replica) propose(list []raft.Proposal, c command) []raft.Proposal {
--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -19,6 +19,8 @@
 	_minTickDelay  = 2 * time.Millisecond
 	_inboxCapacity = 4096
 	_maxBatch      = 512
+	// _maxBatchBytes bounds what one turn of the loop proposes, and so its flush.
+	_maxBatchBytes = 1 << 20
 	_compactAfter  = 10000
 )
 
@@ -57,7 +59,7 @@
 
 // Replica runs a raft.Model and applies its committed entries to a store.Model.
 type Replica struct {
-	cfg   ReplicaConfig
+	cfg ReplicaConfig
 	// received holds messages from other replicas, which are handled before the requests
 	// and encoded snapshots in inbox.
 	received chan any
--- a/raft/log.go
+++ b/raft/log.go
@@ -33,6 +33,29 @@
 	return term
 }
 
+// size returns the bytes of the entries from one index up to, but without, another.
+func (l *log) size(from, to uint64) int {
+	from, to = max(from, l.first()), min(to, l.last()+1)
+	size := 0
+	for index := from; index < to; index++ {
+		size += len(l.entries[index-l.first()].Data)
+	}
+	return size
+}
+
+// sliceBytes returns up to n entries starting at an index, of at most the given bytes
+// together, but at least one.
+func (l *log) sliceBytes(from uint64, n, bytes int) []Entry {
+	entries := l.slice(from, n)
+	for i := range entries {
+		bytes -= len(entries[i].Data)
+		if bytes < 0 {
+			return entries[:max(i, 1)]
+		}
+	}
+	return entries
+}
+
 // slice returns up to n entries starting at an index.
 func (l *log) slice(from uint64, n int) []Entry {
 	if from > l.last() {
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -11,6 +11,15 @@
 	_defaultHeartbeatInterval = 100 * time.Millisecond
 	_maxAppendEntries         = 256
 	_maxInflightEntries       = 1024 // unacknowledged entries per follower
+	// _maxAppendBytes bounds one message, and _maxInflightBytes what a follower has not
+	// acknowledged: heartbeats, votes and other groups wait behind it, on the wire and for
+	// the disk.
+	_maxAppendBytes   = 256 << 10
+	_maxInflightBytes = 1 << 20
+
+	// _resendHeartbeats is the number of heartbeats without progress of a follower after
+	// which unacknowledged entries are sent again.
+	_resendHeartbeats = 3
 
 	// _startupTimeoutDivisor shortens the first election timeout after a start.
 	_startupTimeoutDivisor = 3
@@ -86,6 +95,7 @@
 	snapshotRound  uint64        // round of the last snapshot
 	snapshotMissed bool          // a later round was acknowledged without the snapshot
 	heartbeatMatch uint64        // match at the previous heartbeat
+	stuckBeats     int           // heartbeats since match last grew
 }
 
 // read is a read that awaits confirmation by a quorum.
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -65,7 +65,7 @@
 }
 
 // replicate sends the entries that the follower lacks. A heartbeat is sent even
-// if there are none or the follower's window is full.
+// if there are none or the follower's window is full; then it carries none.
 func (m *Model) replicate(p Peer, heartbeat bool) []Cmd {
 	f := m.followers[p.ID]
 	prev := f.next - 1
@@ -73,10 +73,13 @@
 	if !held {
 		return m.install(p, f, heartbeat)
 	}
-	if !heartbeat && f.next > f.match+_maxInflightEntries {
+	var entries []Entry
+	switch {
+	case !m.windowFull(f):
+		entries = m.log.sliceBytes(f.next, _maxAppendEntries, _maxAppendBytes)
+	case !heartbeat:
 		return nil
 	}
-	entries := m.log.slice(f.next, _maxAppendEntries)
 	f.next += uint64(len(entries))
 	return []Cmd{SendCmd{To: p, Body: Append{
 		Term:      m.term,
@@ -88,6 +91,11 @@
 	}}}
 }
 
+// windowFull reports whether as much is under way to a follower as may be.
+func (m *Model) windowFull(f *follower) bool {
+	return f.next > f.match+_maxInflightEntries || m.log.size(f.match+1, f.next) >= _maxInflightBytes
+}
+
 // install sends the snapshot, and sends it again if it was missed or timed out.
 // While the snapshot is pending, heartbeats carry no entries.
 func (m *Model) install(p Peer, f *follower, heartbeat bool) []Cmd {
@@ -181,13 +189,18 @@
 	return cmds
 }
 
-// rewindIfStalled resends unacknowledged entries if the follower made no
-// progress since the last heartbeat.
+// rewindIfStalled resends unacknowledged entries if the follower has made no progress for
+// some heartbeats. It learns of a lost message sooner, from the reply to a heartbeat.
 func (f *follower) rewindIfStalled() {
-	if f.match == f.heartbeatMatch {
-		f.next = f.match + 1
+	f.stuckBeats++
+	if f.match != f.heartbeatMatch {
+		f.stuckBeats = 0
 	}
 	f.heartbeatMatch = f.match
+	if f.stuckBeats >= _resendHeartbeats {
+		f.stuckBeats = 0
+		f.next = f.match + 1
+	}
 }
 
 func (m *Model) peer(id uint64) Peer {
