--- a/node/ban.go
+++ b/node/ban.go
@@ -27,9 +27,9 @@
 	// _maxTestimonyDelay spreads the reports of completed runs. Once a few have ended the
 	// ban, the others are not sent.
 	_maxTestimonyDelay = 200 * time.Millisecond
-	// _minRetryAfter and _retryAfterSpread, in seconds, tell callers when to return.
-	_minRetryAfter    = 1.0
-	_retryAfterSpread = 1.0
+	// _maxRetryAfter is the time in whole seconds after which deferred callers return at the
+	// latest; they are spread over that time.
+	_maxRetryAfter = 2
 )
 
 // bans holds the fleet-wide bans that a node knows, and its own holds. The zero value is
@@ -181,7 +181,7 @@
 		refuse(e.w, http.StatusUnprocessableEntity, _reasonBanned)
 		return true
 	}
-	e.w.Header().Set("Retry-After", strconv.FormatFloat(_minRetryAfter+_retryAfterSpread*rand.Float64(), 'f', 2, 64))
+	e.w.Header().Set("Retry-After", strconv.Itoa(1+rand.IntN(_maxRetryAfter)))
 	refuse(e.w, http.StatusServiceUnavailable, _reasonDeferred)
 	return true
 }
