--- a/node/depart.go
+++ b/node/depart.go
@@ -66,13 +66,11 @@
 	if err == nil {
 		return nil
 	}
-	s.mu.Lock()
-	b := s.backends[key.ID]
-	s.mu.Unlock()
-	if b == nil {
+	i, known := s.localInstance(key.ID)
+	if !known {
 		return errors.Mark(err, errDepartureNotRecorded)
 	}
-	rumor := proto.Rumor{Member: s.member(), Timestamp: uint64(s.now().Milliseconds()), Instance: b.instance.WithLeaving()}
+	rumor := proto.Rumor{Member: s.member(), Timestamp: uint64(s.now().Milliseconds()), Instance: i.WithLeaving()}
 	if s.entrust(ctx, rumor) == 0 {
 		return errors.Mark(err, errDepartureNotRecorded)
 	}
@@ -80,6 +78,17 @@
 	return nil
 }
 
+// localInstance returns an instance on this host.
+func (s *Server) localInstance(id string) (view.Instance, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.backends[id]
+	if b == nil {
+		return view.Instance{}, false
+	}
+	return b.instance, true
+}
+
 // submitDeparture records a departure at the control hosts.
 func (s *Server) submitDeparture(ctx context.Context, key view.Key, born int64) error {
 	ctx, cancel := context.WithTimeout(ctx, _departureTimeout)
--- a/study/suspect.go
+++ b/study/suspect.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/damaskpitch/damaskpitch/poison"
@@ -109,85 +111,96 @@
 	endsAt   time.Duration
 }
 
+// suspectPlay is the state of one simulation.
+type suspectPlay struct {
+	SuspectCase
+	policy suspectPolicy
+	rng    *rand.Rand
+	runs   []suspectRun
+	backAt []time.Duration // by instance: when it is back after its latest crash
+	lives  int             // crashes so far
+	third  time.Duration   // time of the third crash that the request caused
+	result SuspectResult
+}
+
 // playSuspect plays a case under a policy, in steps of a millisecond.
-func playSuspect(c SuspectCase, p suspectPolicy, seed uint64) SuspectResult {
+func playSuspect(c SuspectCase, policy suspectPolicy, seed uint64) SuspectResult {
 	const step = time.Millisecond
-	rng := rand.New(rand.NewPCG(seed, 3))
-	var (
-		res          SuspectResult
-		runs         []suspectRun
-		backAt       = make([]time.Duration, c.Instances)
-		third        time.Duration
-		lives, owing int
-	)
-	crash := func(instance int, at time.Duration) {
-		lives++
-		backAt[instance] = at + c.Restart
-		inFlight := 0
-		kept := runs[:0]
-		for _, r := range runs {
-			if r.instance == instance {
-				inFlight++
-				continue
-			}
-			kept = append(kept, r)
-		}
-		runs = kept
-		res.Lost += inFlight
-		if inFlight > 0 {
-			p.crashed(string(rune(lives)), at+_viewDelay)
-		}
-	}
+	p := suspectPlay{SuspectCase: c, policy: policy, rng: rand.New(rand.NewPCG(seed, 3)), backAt: make([]time.Duration, c.Instances)}
+	sent := 0
 	for at := time.Duration(0); at < c.Length; at += step {
 		if at == c.CrashAt {
 			for instance := range int(c.CrashShare * float64(c.Instances)) {
-				crash(instance, at)
-			}
-		}
-		kept := runs[:0]
-		for _, r := range runs {
-			if r.endsAt > at {
-				kept = append(kept, r)
-				continue
+				p.crash(instance, at)
 			}
-			res.Served++
-			p.completed(at + _viewDelay)
-		}
-		runs = kept
-		if due := int(at.Seconds() * c.Rate); due <= owing {
-			continue
 		}
-		owing++
-		switch p.verdict(at) {
-		case poison.Deferred:
-			res.Deferred++
-			continue
-		case poison.Refused, poison.TrialDue:
-			res.Refused++
-			continue
-		case poison.Allowed:
-		}
-		instance := rng.IntN(c.Instances)
-		for range c.Instances {
-			if backAt[instance] <= at {
-				break
-			}
-			instance = (instance + 1) % c.Instances
+		p.finishRuns(at)
+		if int(at.Seconds()*c.Rate) > sent {
+			sent++
+			p.send(at)
 		}
-		runs = append(runs, suspectRun{instance: instance, endsAt: at + c.RunTime})
-		if !c.Deadly {
-			continue
-		}
-		if res.Crashes >= 3 && at > third+3*time.Second {
-			res.LateRetries++
-		}
-		res.Crashes++
-		if res.Crashes == 3 {
-			third = at
+	}
+	return p.result
+}
+
+// crash ends an instance and what it runs.
+func (p *suspectPlay) crash(instance int, at time.Duration) {
+	p.lives++
+	p.backAt[instance] = at + p.Restart
+	before := len(p.runs)
+	p.runs = slices.DeleteFunc(p.runs, func(r suspectRun) bool { return r.instance == instance })
+	lost := before - len(p.runs)
+	p.result.Lost += lost
+	if lost > 0 {
+		p.policy.crashed(strconv.Itoa(p.lives), at+_viewDelay)
+	}
+}
+
+// finishRuns ends the runs whose time has come.
+func (p *suspectPlay) finishRuns(at time.Duration) {
+	before := len(p.runs)
+	p.runs = slices.DeleteFunc(p.runs, func(r suspectRun) bool { return r.endsAt <= at })
+	for range before - len(p.runs) {
+		p.result.Served++
+		p.policy.completed(at + _viewDelay)
+	}
+}
+
+// send sends the request once.
+func (p *suspectPlay) send(at time.Duration) {
+	switch p.policy.verdict(at) {
+	case poison.Deferred:
+		p.result.Deferred++
+		return
+	case poison.Refused, poison.TrialDue:
+		p.result.Refused++
+		return
+	case poison.Allowed:
+	}
+	instance := p.chooseInstance(at)
+	p.runs = append(p.runs, suspectRun{instance: instance, endsAt: at + p.RunTime})
+	if !p.Deadly {
+		return
+	}
+	if p.result.Crashes >= 3 && at > p.third+3*time.Second {
+		p.result.LateRetries++
+	}
+	p.result.Crashes++
+	if p.result.Crashes == 3 {
+		p.third = at
+	}
+	p.crash(instance, at)
+}
+
+// chooseInstance returns a random instance that is up.
+func (p *suspectPlay) chooseInstance(at time.Duration) int {
+	first := p.rng.IntN(p.Instances)
+	for n := range p.Instances {
+		if instance := (first + n) % p.Instances; p.backAt[instance] <= at {
+			return instance
 		}
-		crash(instance, at)
 	}
-	return res
+	return first
 }
 
 // PlaySuspect plays a case under the policy of package poison.
