--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -15,7 +15,8 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) (int, error){
-	"storm":  runStorm,
+	"storm": runStorm,
+	"text":  runText,
 }
 
 func main() {
