--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -15,8 +15,9 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) (int, error){
-	"storm": runStorm,
-	"text":  runText,
+	"bodies": runBodies,
+	"storm":  runStorm,
+	"text":   runText,
 }
 
 func main() {
