--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,6 @@
 #!/bin/sh
 # Shows the case; run it after the build of the deploy file and review/build-2.sh.
-cd "$(dirname "$0")/../.." && exec target/review-rig text review/7/record.txt
+cd "$(dirname "$0")/../.." || exit 2
+# TROUBLE=0 leaves the disruption out.
+export TROUBLE="${TROUBLE:-1}"
+exec target/review-rig text review/7/record.txt
