Documents that cannot be read unaltered are rejected

Two patches whose routes' names differ in one Latin-1 letter were acknowledged.

Cause: encoding/json replaces what it cannot read, without an error. Bytes that are not UTF-8 and escaped surrogates become U+FFFD; of a repeated name the last value counts, also when it differs in case; some readers ignored text after the value. The check of encodeEntry comes after that and finds valid text. The same readers took services, announcements and reports; goccy/go-yaml does the same with bytes and escapes in declarations and settings, and of the settings only the first document was read.

Why this works: all of these read with package strict now, which rejects a document that it would have to alter. Stored plans are not affected, since they are CBOR; nothing is checked anew when a log is applied, so replicas of both versions agree. Rejected writes are logged and counted as invalid, without quoting text, which may hold a key.

--- a/config/config.go
+++ b/config/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/netip"
 	"os"
 	"slices"
@@ -11,6 +12,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/damaskpitch/damaskpitch/spec"
+	"github.com/damaskpitch/damaskpitch/strict"
 )
 
 const (
@@ -199,10 +201,16 @@
 }
 
 func parse(file string, data []byte, dst any) error {
+	if err := strict.CheckYAML(data); err != nil {
+		return errors.Mark(errors.Errorf("%s: %w", file, err), spec.ErrInvalid)
+	}
 	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.Validator(newValidator()))
 	if err := decoder.Decode(dst); err != nil {
 		return errors.Mark(errors.Errorf("%s: %w", file, err), spec.ErrInvalid)
 	}
+	if err := decoder.Decode(&struct{}{}); !errors.Is(err, io.EOF) {
+		return errors.Mark(errors.Errorf("%s: more than one document", file), spec.ErrInvalid)
+	}
 	return nil
 }
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -19,7 +19,8 @@
 `
 
 // TestBadSettings checks that the error for invalid settings names the file
-// and the line, field or value at fault.
+// and the line, field or value at fault, and guards against settings of which a part is
+// replaced or ignored.
 func TestBadSettings(t *testing.T) {
 	cases := []struct {
 		name, from, to string
@@ -34,6 +35,9 @@
 		{"wrong type", "center: mida", "center: [mida]", []string{"2", "center"}},
 		{"no hosts", "hosts:\n  - name: c1\n    addr: 127.0.0.1:7101\n", "hosts: []\n", []string{"hosts"}},
 		{"data folder that cannot be created", "data: data/c1", "data: /dev/null/c1", []string{"data", "/dev/null/c1"}},
+		{"not UTF-8", "data: data/c1", "data: data/\xe9", []string{"byte 33", "unicode"}},
+		{"surrogate", "data: data/c1", `data: "data/\udc00"`, []string{"line 3", "unicode"}},
+		{"second document", "    addr: 127.0.0.1:7101\n", "    addr: 127.0.0.1:7101\n---\nlog:\n  level: warn\n", []string{"more than one document"}},
 		{"not among the hosts", "name: c1\ncenter", "name: c2\ncenter", []string{"hosts", "c2"}},
 	}
 	t.Chdir(t.TempDir())
--- a/ctrl/api.go
+++ b/ctrl/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -16,6 +17,7 @@
 
 	"github.com/damaskpitch/damaskpitch/spec"
 	"github.com/damaskpitch/damaskpitch/store"
+	"github.com/damaskpitch/damaskpitch/strict"
 	"github.com/damaskpitch/damaskpitch/view"
 	"github.com/damaskpitch/damaskpitch/wire"
 )
@@ -80,9 +82,12 @@
 
 func (s *Server) putService(w http.ResponseWriter, r *http.Request) {
 	var service spec.Service
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, spec.MaxDocument))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&service); err != nil {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, spec.MaxDocument))
+	if err == nil {
+		err = strict.JSONFields(body, &service)
+	}
+	if err != nil {
+		s.logMalformed(r, err)
 		writeProblem(w, http.StatusBadRequest, Problem{Code: "malformed", Message: err.Error()})
 		return
 	}
@@ -104,6 +109,13 @@
 	}
 }
 
+// logMalformed records a write that is rejected since its body is invalid.
+func (s *Server) logMalformed(r *http.Request, err error) {
+	s.stats.invalid.Inc(1)
+	s.log.Warn("write rejected", slog.String("method", r.Method), slog.String("path", r.URL.Path),
+		slog.String("from", r.RemoteAddr), slog.Any("error", err))
+}
+
 func (s *Server) dropService(w http.ResponseWriter, r *http.Request) {
 	match, ok := parseMatch(w, r)
 	if ok {
--- a/ctrl/plan.go
+++ b/ctrl/plan.go
@@ -40,6 +40,7 @@
 	}
 	p, err := plan.Parse(bytes.NewReader(body))
 	if err != nil {
+		s.logMalformed(r, err)
 		writeProblem(w, http.StatusBadRequest, invalidProblem(err))
 		return
 	}
@@ -56,6 +57,7 @@
 	}
 	patch, err := plan.ParsePatch(bytes.NewReader(body))
 	if err != nil {
+		s.logMalformed(r, err)
 		writeProblem(w, http.StatusBadRequest, invalidProblem(err))
 		return
 	}
--- a/node/instance.go
+++ b/node/instance.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"encoding/json"
 	"io"
 	"log/slog"
 	"net/http"
@@ -12,6 +11,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/damaskpitch/damaskpitch/spec"
+	"github.com/damaskpitch/damaskpitch/strict"
 	"github.com/damaskpitch/damaskpitch/view"
 )
 
@@ -56,7 +56,11 @@
 // ParseReport decodes and validates a report of the instance with the given ID.
 func ParseReport(id string, r io.Reader) (Report, error) {
 	var p Report
-	if err := json.NewDecoder(r).Decode(&p); err != nil {
+	data, err := io.ReadAll(r)
+	if err == nil {
+		err = strict.JSON(data, &p)
+	}
+	if err != nil {
 		return p, errors.Mark(errors.Errorf("read report: %w", err), spec.ErrInvalid)
 	}
 	return p, p.check(id)
--- a/plan/parse.go
+++ b/plan/parse.go
@@ -1,12 +1,12 @@
 package plan
 
 import (
-	"encoding/json"
 	"io"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/damaskpitch/damaskpitch/spec"
+	"github.com/damaskpitch/damaskpitch/strict"
 )
 
 // Parse reads a whole plan as JSON and validates it.
@@ -26,14 +26,15 @@
 	return patch, err
 }
 
-// decode reads one JSON value and rejects trailing data.
+// decode reads a JSON document. What would be kept in another form than it was sent in is
+// an error.
 func decode(r io.Reader, into any) error {
-	decoder := json.NewDecoder(r)
-	if err := decoder.Decode(into); err != nil {
-		return errors.Mark(errors.Errorf("read plan: %w", err), spec.ErrInvalid)
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return errors.Errorf("read plan: %w", err)
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return errors.Mark(errors.New("read plan: more than one JSON value"), spec.ErrInvalid)
+	if err := strict.JSON(data, into); err != nil {
+		return errors.Mark(errors.Errorf("read plan: %w", err), spec.ErrInvalid)
 	}
 	return nil
 }
--- a/spec/yaml.go
+++ b/spec/yaml.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
+
+	"github.com/damaskpitch/damaskpitch/strict"
 )
 
 // MaxDocument is the maximum size of a file or request body with declarations,
@@ -19,6 +21,9 @@
 	if len(data) > MaxDocument {
 		return nil, &FieldError{Field: file, Value: "", Want: "at most 4 MiB"}
 	}
+	if err := strict.CheckYAML(data); err != nil {
+		return nil, errors.Mark(errors.Errorf("%s: %w", file, err), ErrInvalid)
+	}
 	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
 	var services []Service
 	for {
