Responses with headers that are not UTF-8 can be stored and fetched

What callers saw: a backend server answered with a header in Latin-1, which HTTP allows. When the connection between two nodes went silent, callers got 504 for requests that had run and whose response the owner kept; a repeat under an idempotency key got 409, "the first request with this key still runs", until the claim expired.

Stored responses and the answers of claims are CBOR, whose text has to be UTF-8: such a value can be encoded, but the receiver rejects the whole message. The ingress took that for an owner that it cannot reach; the control hosts refused each attempt to record the answer.

Why this works: values that are not UTF-8 are sent as bytes in a field of their own. Answers in the log of a control host are read as before.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"time"
+	"unicode/utf8"
 )
 
 // Outcome is how a request ended, as reported by the holder of its claim.
@@ -38,10 +39,28 @@
 	Body   []byte   `json:"body,omitempty"`
 }
 
-// Header is one response header.
+// Header is one response header. A value that is not UTF-8 is in Bytes, as encoded text has
+// to be UTF-8 and header values need not.
 type Header struct {
 	Name  string `json:"name"`
 	Value string `json:"value"`
+	Bytes []byte `json:"bytes,omitempty"`
+}
+
+// NewHeader returns a header with any value.
+func NewHeader(name, value string) Header {
+	if !utf8.ValidString(value) {
+		return Header{Name: name, Bytes: []byte(value)}
+	}
+	return Header{Name: name, Value: value}
+}
+
+// Text returns the value of the header.
+func (h Header) Text() string {
+	if len(h.Bytes) > 0 {
+		return string(h.Bytes)
+	}
+	return h.Value
 }
 
 // Config sets how long settled keys are retained, measured on the clock of the
--- a/fake/backend.go
+++ b/fake/backend.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,6 +36,8 @@
 	// Share is the fraction of requests that the behaviour applies to; 0 means
 	// all of them.
 	Share float64
+	// Header is added to the header of each response.
+	Header http.Header
 	// Fault is the fault in the response.
 	Fault Fault
 }
@@ -249,6 +252,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	maps.Copy(w.Header(), behaviour.Header)
 	if behaviour.Status != 0 {
 		w.WriteHeader(behaviour.Status)
 	}
--- a/node/claim.go
+++ b/node/claim.go
@@ -124,7 +124,7 @@
 	header := forwardableHeader(res.response.Header)
 	for _, name := range slices.Sorted(maps.Keys(header)) {
 		for _, value := range header[name] {
-			answer.Header = append(answer.Header, claim.Header{Name: name, Value: value})
+			answer.Header = append(answer.Header, claim.NewHeader(name, value))
 		}
 	}
 	return answer, true, len(body) <= _maxStoredBody
@@ -161,7 +161,7 @@
 		http.Error(e.w, "the request ran once; its answer was too long to keep", http.StatusConflict)
 	case state == claim.Done:
 		for _, h := range e.claimResult.Answer.Header {
-			e.w.Header().Add(h.Name, h.Value)
+			e.w.Header().Add(h.Name, h.Text())
 		}
 		e.w.Header().Set(HeaderOutcome, "ran")
 		e.w.Header().Set(HeaderReason, "repeat")
--- a/node/stored.go
+++ b/node/stored.go
@@ -91,9 +91,7 @@
 	if body.over || !whole || j.r.Header.Get(_headerOnce) == "" {
 		return
 	}
-	j.server.responses.put(j.ref, proto.StoredResponse{
-		Status: response.StatusCode, Header: j.w.Header().Clone(), Body: body.data.Bytes(),
-	}, j.server.now())
+	j.server.responses.put(j.ref, proto.NewStoredResponse(response.StatusCode, j.w.Header(), body.data.Bytes()), j.server.now())
 }
 
 // httpResponse returns a stored response as the owner would have sent it.
@@ -104,7 +102,7 @@
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
-		Header:        stored.Header,
+		Header:        stored.HTTPHeader(),
 		Body:          io.NopCloser(bytes.NewReader(stored.Body)),
 		ContentLength: int64(len(stored.Body)),
 	}
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -1,9 +1,14 @@
 package proto
 
 import (
+	"maps"
+	"net/http"
+	"slices"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
+	"github.com/damaskpitch/damaskpitch/claim"
 	"github.com/damaskpitch/damaskpitch/ledger"
 	"github.com/damaskpitch/damaskpitch/quota"
 	"github.com/damaskpitch/damaskpitch/raft"
@@ -208,13 +213,41 @@
 	Response *StoredResponse `json:"response,omitempty"`
 }
 
-// StoredResponse is a response that an owner keeps for an ingress that has lost it.
+// StoredResponse is a response that an owner keeps for an ingress that has lost it. Header
+// has the fields whose values are UTF-8, and Other the rest.
 type StoredResponse struct {
 	Status int                 `json:"status"`
 	Header map[string][]string `json:"header"`
+	Other  []claim.Header      `json:"other,omitempty"`
 	Body   []byte              `json:"body"`
 }
 
+// NewStoredResponse returns a response to store.
+func NewStoredResponse(status int, header http.Header, body []byte) StoredResponse {
+	r := StoredResponse{Status: status, Header: make(map[string][]string, len(header)), Body: body}
+	invalid := func(value string) bool { return !utf8.ValidString(value) }
+	for name, values := range header {
+		if !slices.ContainsFunc(values, invalid) {
+			r.Header[name] = slices.Clone(values)
+			continue
+		}
+		for _, value := range values {
+			r.Other = append(r.Other, claim.NewHeader(name, value))
+		}
+	}
+	return r
+}
+
+// HTTPHeader returns the header of the response.
+func (r StoredResponse) HTTPHeader() http.Header {
+	header := make(http.Header, len(r.Header)+len(r.Other))
+	maps.Copy(header, r.Header)
+	for _, h := range r.Other {
+		header[h.Name] = append(header[h.Name], h.Text())
+	}
+	return header
+}
+
 // Check returns a FieldError for the first invalid field.
 func (r StoredResponse) Check() error {
 	const minStatus, maxStatus = 200, 599
--- a/trials/text_test.go
+++ b/trials/text_test.go
@@ -1,13 +1,19 @@
 package trials
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"reflect"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/damaskpitch/damaskpitch/fake"
 )
 
 // patchRoute writes a patch that adds a route at a path of its own.
@@ -50,3 +56,86 @@
 		return nil
 	})
 }
+
+// latin1Title is a header value that is valid in HTTP, but not UTF-8.
+const latin1Title = "caf\xe9"
+
+// postRenewal sends a request that must not run twice. It returns the status, the body and
+// the Title header.
+func (f *fleet) postRenewal(node int, id string, header http.Header) (int, string, string, error) {
+	ctx, cancel := context.WithTimeout(f.t.Context(), _maxWait)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.nodes[node].Caller+"/renew/1", strings.NewReader(id))
+	if err != nil {
+		return 0, "", "", err
+	}
+	r.Header = header
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Mark", id)
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), response.Header.Get("Title"), err
+}
+
+// TestRepeatGetsLatin1Header guards against an idempotency key whose response cannot be
+// recorded, since a header is not UTF-8: repeats then get 409 instead of the response.
+func TestRepeatGetsLatin1Header(t *testing.T) {
+	f, a, b := startServingFleet(t)
+	for _, server := range []*fake.Backend{a, b} {
+		server.SetBehaviour(fake.Behaviour{Header: http.Header{"Title": {latin1Title}}})
+	}
+	var first string
+	f.eventually("first response", func() error {
+		status, body, title, err := f.postRenewal(0, "k", http.Header{"Idempotency-Key": {"k"}})
+		first = body
+		if status != http.StatusOK || title != latin1Title {
+			return errors.Newf("status %d, %q, %v", status, title, err)
+		}
+		return nil
+	})
+	for node := range f.nodes {
+		status, body, title, err := f.postRenewal(node, "k", http.Header{"Idempotency-Key": {"k"}})
+		if status != http.StatusOK || body != first || title != latin1Title {
+			t.Errorf("repeat at node %d: status %d, %s, %q, %v", node, status, body, title, err)
+		}
+	}
+	if runs := a.RunCounts()["k"] + b.RunCounts()["k"]; runs != 1 {
+		t.Errorf("ran %d times", runs)
+	}
+}
+
+// TestLostResponseWithLatin1Header guards against a finished response that cannot be fetched
+// from its owner, since a header is not UTF-8.
+func TestLostResponseWithLatin1Header(t *testing.T) {
+	const work = 400 * time.Millisecond
+	f := newFleet(t, 1, 2)
+	relay, err := fake.StartRelay(t.Context(), f.nodes[1].Peer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.nodes[1].Advertise = relay.Addr()
+	f.startAll()
+	f.putService(0, lookupService(), "first")
+	b := f.startBackend("lookup-1", "lookup", 1)
+	f.awaitInstances(1)
+	b.SetBehaviour(fake.Behaviour{Delay: work, Header: http.Header{"Title": {latin1Title}}})
+	for round := range 3 {
+		var wg sync.WaitGroup
+		for n := range 4 {
+			wg.Go(func() {
+				id := fmt.Sprintf("latin-%d-%d", round, n)
+				status, body, title, err := f.postRenewal(0, id, http.Header{})
+				if status != http.StatusOK || title != latin1Title || !strings.Contains(body, id) {
+					t.Errorf("%s: status %d, %s, %q, %v", id, status, body, title, err)
+				}
+			})
+		}
+		time.Sleep(work / 2)
+		relay.Silence()
+		wg.Wait()
+	}
+}
