Routes whose names hold control characters are served

What callers saw: 503 "no instance" for each request of a route whose name has a line break, a NUL or another control character, though the plan with it was acknowledged; and for those of other routes, as each such request marked all owners that it tried as unreachable.

Cause: an ingress sends the route's name in a header, and the transport refuses such a header before it connects, which counts as an owner that cannot be reached.

Why this works: owners use the name only as a key of what they learn about a route, so the ingress sends an escaped form of such names. Names are not refused, since stored plans may hold them; spaces at the ends, which the receiver would drop, are escaped as well.

--- a/node/attempt.go
+++ b/node/attempt.go
@@ -370,7 +370,7 @@
 		r.Header.Set(_headerCustomer, e.customer.Name)
 	}
 	if e.match.Plan != nil {
-		r.Header.Set(_headerRoute, e.match.Plan.Name)
+		r.Header.Set(_headerRoute, headerText(e.match.Plan.Name))
 	}
 	if target := e.match.Target(); target > 0 {
 		r.Header.Set(_headerTarget, formatMillis(max(0, target-time.Since(e.startedAt))))
--- a/node/header.go
+++ b/node/header.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/cockroachdb/errors"
 
@@ -75,6 +76,15 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
+// headerText returns a text that identifies a name and can be sent in a header, where control
+// characters are invalid and spaces at the ends are removed.
+func headerText(name string) string {
+	if strings.TrimSpace(name) != name || strings.ContainsFunc(name, unicode.IsControl) {
+		return strconv.QuoteToASCII(name)
+	}
+	return name
+}
+
 // headerSize returns the size in bytes of a request's header.
 func headerSize(r *http.Request) int64 {
 	const separators = len(": \r\n")
--- a/trials/text_test.go
+++ b/trials/text_test.go
@@ -139,3 +139,29 @@
 		wg.Wait()
 	}
 }
+
+// TestRouteNameWithControlCharacters guards against a route that is accepted and then never
+// served, since its name cannot be sent in a header between nodes.
+func TestRouteNameWithControlCharacters(t *testing.T) {
+	f := startRawFleet(t, startRaw(t, "i-1", writeSound), startRaw(t, "i-2", writeSound))
+	names := []string{"tab\there", "line\nbreak", "nul\x00", "\x7f", " edges ", "café", "\u2028", `"quoted"`}
+	p := platformPlan()
+	p.Version++
+	for n, name := range names {
+		r := p.Routes[0]
+		r.Name, r.Path = name, fmt.Sprintf("/new%d/", n)
+		p.Routes = append(p.Routes, r)
+	}
+	f.eventually("plan", func() error { return f.checkAccepted(f.putPlan(0, p, p.Version-1)) })
+	for n, name := range names {
+		f.eventually(fmt.Sprintf("response for route %q", name), func() error {
+			for node := range f.nodes {
+				id := fmt.Sprintf("c-%d-%d-%d", n, node, time.Now().UnixNano())
+				if status, body, _, err := f.sendPlatform(node, http.MethodGet, fmt.Sprintf("/new%d/x", n), id); status != http.StatusOK {
+					return errors.Newf("node %d: status %d, %s, %v", node, status, body, err)
+				}
+			}
+			return nil
+		})
+	}
+}
