Logs say why a response broke off, at the owner and at the ingress

A response that broke off left no line: neither which side it was, nor how much of the response and of the upload had passed. Both say so now ("response broke off", "response to a caller broke off"), with the error of the read or write.

--- a/node/download.go
+++ b/node/download.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"strings"
 	"time"
@@ -38,6 +39,8 @@
 	}
 	if !complete {
 		e.server.stats.broken.Inc(1)
+		e.server.log.Info("response to a caller broke off", slog.String("request", e.id), slog.Int64("bytes", d.sent),
+			slog.Bool("caller_gone", d.callerGone), slog.String("error", fmt.Sprint(d.failed)))
 		panic(http.ErrAbortHandler)
 	}
 	e.server.stats.answer.RecordDuration(time.Since(e.startedAt))
@@ -49,7 +52,8 @@
 	etag       string
 	length     int64
 	sent       int64
-	callerGone bool // writing to the caller failed
+	callerGone bool  // writing to the caller failed
+	failed     error // of the last read or write
 }
 
 // copy sends the rest of the response body and reports whether it was complete.
@@ -65,6 +69,7 @@
 			return true
 		}
 		if err != nil {
+			d.failed = err
 			return false
 		}
 	}
@@ -73,8 +78,11 @@
 func (d *download) write(data []byte, flusher *http.ResponseController) bool {
 	n, err := d.exchange.w.Write(data)
 	d.sent += int64(n)
-	if err != nil || flusher.Flush() != nil {
-		d.callerGone = true
+	if err == nil {
+		err = flusher.Flush()
+	}
+	if err != nil {
+		d.callerGone, d.failed = true, err
 		return false
 	}
 	return true
--- a/node/reply.go
+++ b/node/reply.go
@@ -63,6 +63,10 @@
 	}
 	j.server.finishWork(j.instance, j.ref, outcome)
 	if err != nil {
+		j.server.log.Info("response broke off", slog.String("instance", j.instance), slog.String("attempt", j.ref.String()),
+			slog.Int64("bytes", w.bodyBytes()), slog.Int64("length", response.ContentLength),
+			slog.Int64("upload_bytes", w.uploadBytes.Load()), slog.Int64("upload_length", j.r.ContentLength),
+			slog.Bool("upload_failed", w.uploadFailed.Load()), slog.String("error", err.Error()))
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/node/work.go
+++ b/node/work.go
@@ -35,7 +35,8 @@
 	now         func() time.Duration
 	repeatShare float64 // likelihood that it is a repeat
 
-	uploadFailed atomic.Bool // reading the caller's body failed
+	uploadFailed atomic.Bool  // reading the caller's body failed
+	uploadBytes  atomic.Int64 // of the caller's body that were read
 
 	mu              sync.Mutex
 	stopwatch       stopwatch
@@ -85,6 +86,13 @@
 	}
 }
 
+// bodyBytes returns how many bytes of the response body were read.
+func (w *work) bodyBytes() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bodySize
+}
+
 // takeBodyTime returns the time per MiB of the response body, once it is measured. It
 // returns it only once.
 func (w *work) takeBodyTime() (time.Duration, bool) {
@@ -150,6 +158,7 @@
 	u.work.setUploadWait(true)
 	defer u.work.setUploadWait(false)
 	n, err := u.ReadCloser.Read(p)
+	u.work.uploadBytes.Add(int64(n))
 	if err != nil && !errors.IsAny(err, io.EOF, http.ErrBodyReadAfterClose) {
 		u.work.uploadFailed.Store(true)
 	}
