A response that a reset cuts off during an upload is never taken for a whole one

Cause: the kernel reports a reset once. If the write of the upload meets it first, the write gets the error; a read after that returns the data that is left and then a clean end, which ends a body without a length. net/http closes the connection after a failed write, but the read of the body may be faster.

Why this works: a connection to a backend server or owner remembers that a write on it has failed. Reads then end with an error instead of a clean end, after waiting for a write that is in progress, which may have met the reset already. The peer's own end of the connection is still a clean one, also during an upload: a server that answers early, closes its side and reads on has sent all of its response.

--- a/node/backend.go
+++ b/node/backend.go
@@ -108,7 +108,7 @@
 func newTransport(maxLines int) *http.Transport {
 	dialer := &net.Dialer{Timeout: _dialTimeout}
 	return &http.Transport{
-		DialContext:            heads.LimitResponses(dialer.DialContext, maxLines),
+		DialContext:            heads.LimitResponses(stickyErrors(dialer.DialContext), maxLines),
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: _maxHeaderBytes,
 	}
--- a/node/conns.go
+++ b/node/conns.go
@@ -87,7 +87,7 @@
 	dialer := &net.Dialer{Timeout: c.connectTimes.Timeout(center)}
 	c.mu.Unlock()
 	started := time.Now()
-	conn, err := dialer.DialContext(ctx, network, addr)
+	conn, err := stickyErrors(dialer.DialContext)(ctx, network, addr)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var timeout net.Error
--- a/trials/raw_test.go
+++ b/trials/raw_test.go
@@ -25,18 +25,29 @@
 	// respond writes the response to a request. The connection is closed when it returns
 	// false.
 	respond func(conn *net.TCPConn, r *http.Request) bool
+	// early leaves reading the body to respond.
+	early bool
 
 	mu   sync.Mutex
 	runs map[string]int // by request ID
 }
 
 func startRaw(t *testing.T, id string, respond func(conn *net.TCPConn, r *http.Request) bool) *rawInstance {
+	return (&rawInstance{id: id, respond: respond}).start(t)
+}
+
+// startEarly starts an instance that responds before it has read the body.
+func startEarly(t *testing.T, id string, respond func(conn *net.TCPConn, r *http.Request) bool) *rawInstance {
+	return (&rawInstance{id: id, respond: respond, early: true}).start(t)
+}
+
+func (i *rawInstance) start(t *testing.T) *rawInstance {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	i := &rawInstance{id: id, listener: l, respond: respond, runs: map[string]int{}}
+	i.listener, i.runs = l, map[string]int{}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -57,7 +68,9 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
+		if !i.early {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
 		i.mu.Lock()
 		i.runs[r.Header.Get(platform.Headers().RequestID)]++
 		i.mu.Unlock()
