--- a/trials/reset_test.go
+++ b/trials/reset_test.go
@@ -155,6 +155,9 @@
 		{"pipelined", func(f *fleet, node int, path, id string) (int, int, error) {
 			return f.uploadRaw(node, path, "1.1", id, true)
 		}},
+		{"HTTP/1.0", func(f *fleet, node int, path, id string) (int, int, error) {
+			return f.uploadRaw(node, path, "1.0", id, false)
+		}},
 		{"HTTP/2", (*fleet).uploadHTTP2},
 	}
 	kinds := []struct {
