A response that begins during an upload keeps the upload whole

What callers saw: found while trying the related paths of the resets. A backend server that begins its response before it has read the upload did not get all of it, and the caller's response was cut.

Cause: net/http's server consumes what is left of a request's body, up to 256 KiB, before it sends the head of the response, while our own forwarding reads the same body: each gets a part. And an owner that sends the head before it has asked for the upload ("100 Continue") never gets it; the ingress waits for the permission and the instance for the upload, until the deadline.

The line that the logs got before shows upload_bytes 0 at the owner for the second part.

Why this works: with full duplex net/http leaves the body to the handler. An owner that has not read any of the upload sends the permission before the head. An ingress tells the caller that the connection will be closed, as net/http did for long uploads.

--- a/node/body.go
+++ b/node/body.go
@@ -40,6 +40,7 @@
 
 	rest     io.Reader   // nil if the whole body is buffered
 	tooLarge atomic.Bool // the rest exceeded the limit
+	atEnd    atomic.Bool // the rest has been read
 
 	mu      sync.Mutex
 	started bool         // part of the rest has been read
@@ -98,6 +99,11 @@
 	return b.rest == nil
 }
 
+// ended reports whether all of the body has arrived.
+func (b *requestBody) ended() bool {
+	return b.whole() || b.atEnd.Load()
+}
+
 // replayable reports whether another attempt can send the whole body.
 func (b *requestBody) replayable() bool {
 	if b.whole() {
@@ -166,6 +172,9 @@
 		return 0, errAttemptEnded
 	}
 	n, err := a.body.rest.Read(p)
+	if err == io.EOF { //nolint:errorlint // Read returns io.EOF unwrapped
+		a.body.atEnd.Store(true)
+	}
 	if err == nil || err == io.EOF { //nolint:errorlint // Read returns io.EOF unwrapped
 		return n, err
 	}
--- a/node/download.go
+++ b/node/download.go
@@ -27,6 +27,11 @@
 	}
 	out.Set(e.server.headers.RequestID, e.id)
 	out.Set(HeaderOutcome, "ran")
+	if !e.body.ended() {
+		// net/http would consume the rest of the upload before it sends the head.
+		_ = http.NewResponseController(e.w).EnableFullDuplex()
+		out.Set("Connection", "close")
+	}
 	e.w.WriteHeader(res.response.StatusCode)
 	d := download{
 		exchange: e,
--- a/node/reply.go
+++ b/node/reply.go
@@ -48,6 +48,7 @@
 		out.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	j.setLoadHeaders()
+	j.keepUpload(w)
 	j.w.WriteHeader(response.StatusCode)
 	body := &capturedBody{ReadCloser: response.Body}
 	err := streamBody(j.w, body, w)
@@ -71,6 +72,19 @@
 	}
 }
 
+// keepUpload lets the upload go on while the response is sent. Without it net/http consumes the
+// rest of the upload before it sends the head, or never asks the ingress for it.
+func (j *job) keepUpload(w *work) {
+	if j.r.ContentLength == 0 {
+		return
+	}
+	// Fails for writers of tests only, which read no upload.
+	_ = http.NewResponseController(j.w).EnableFullDuplex()
+	if w.uploadBytes.Load() == 0 && j.r.Header.Get("Expect") != "" {
+		j.w.WriteHeader(http.StatusContinue)
+	}
+}
+
 // errCallerGone reports that writing the response towards the caller failed.
 var errCallerGone = errors.New("caller closed the connection")
 
--- a/trials/reset_test.go
+++ b/trials/reset_test.go
@@ -65,33 +65,39 @@
 	}
 }
 
-// uploadHead returns the head of an upload.
-func uploadHead(path, version, id string) string {
+// rawUpload is an upload over HTTP/1.
+type rawUpload struct {
+	path, version, id string
+	size              int
+	pipelined         bool // behind another request on its connection
+}
+
+func (u rawUpload) head() string {
 	names := platform.Headers()
-	return fmt.Sprintf("POST %s HTTP/%s\r\nHost: h.example\r\n%s: %s\r\n%s: 3000\r\nContent-Length: %d\r\n\r\n",
-		path, version, names.RequestID, id, names.Timeout, _uploadSize)
+	head := fmt.Sprintf("POST %s HTTP/%s\r\nHost: h.example\r\n%s: %s\r\n%s: 3000\r\nContent-Length: %d\r\n\r\n",
+		u.path, u.version, names.RequestID, u.id, names.Timeout, u.size)
+	if u.pipelined {
+		head = fmt.Sprintf("GET /a/first HTTP/1.1\r\nHost: h.example\r\n%s: %s-first\r\n%s: 3000\r\n\r\n",
+			names.RequestID, u.id, names.Timeout) + head
+	}
+	return head
 }
 
-// uploadRaw sends an upload over HTTP/1, behind another request if pipelined is set. It
-// returns the status and size of the response, and an error unless that is whole.
-func (f *fleet) uploadRaw(node int, path, version, id string, pipelined bool) (int, int, error) {
+// uploadRaw sends an upload to a node. It returns the status and size of the response, and an
+// error unless that is whole.
+func (f *fleet) uploadRaw(node int, u rawUpload) (int, int, error) {
 	conn, err := net.Dial("tcp", f.nodes[node].Caller)
 	if err != nil {
 		return 0, 0, err
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-	names := platform.Headers()
-	head := uploadHead(path, version, id)
-	if pipelined {
-		head = fmt.Sprintf("GET /a/first HTTP/1.1\r\nHost: h.example\r\n%s: %s-first\r\n%s: 3000\r\n\r\n", names.RequestID, id, names.Timeout) + head
-	}
 	go func() {
-		_, _ = io.WriteString(conn, head)
-		sendPieces(conn, _uploadSize)
+		_, _ = io.WriteString(conn, u.head())
+		sendPieces(conn, u.size)
 	}()
 	reader := bufio.NewReader(conn)
-	if pipelined {
+	if u.pipelined {
 		if _, _, err := readAnswer(reader, http.MethodGet); err != nil {
 			return 0, 0, err
 		}
@@ -150,13 +156,13 @@
 		send func(f *fleet, node int, path, id string) (int, int, error)
 	}{
 		{"HTTP/1.1", func(f *fleet, node int, path, id string) (int, int, error) {
-			return f.uploadRaw(node, path, "1.1", id, false)
+			return f.uploadRaw(node, rawUpload{path: path, version: "1.1", id: id, size: _uploadSize})
 		}},
 		{"pipelined", func(f *fleet, node int, path, id string) (int, int, error) {
-			return f.uploadRaw(node, path, "1.1", id, true)
+			return f.uploadRaw(node, rawUpload{path: path, version: "1.1", id: id, size: _uploadSize, pipelined: true})
 		}},
 		{"HTTP/1.0", func(f *fleet, node int, path, id string) (int, int, error) {
-			return f.uploadRaw(node, path, "1.0", id, false)
+			return f.uploadRaw(node, rawUpload{path: path, version: "1.0", id: id, size: _uploadSize})
 		}},
 		{"HTTP/2", (*fleet).uploadHTTP2},
 	}
