Buffered bodies of requests share one budget

Cause: up to 64 KiB of each body are buffered until its request ends, and nothing bounded these buffers together.

Why this works: a body is charged before it is read, from a sixteenth of the process's memory. What does not fit waits unread, the smallest first, for 1 s at the most; behind as much as the budget holds a request is refused at once, with 503: nothing of it has been sent on. Bodies up to 4 KiB are not charged.

--- a/config/config.go
+++ b/config/config.go
@@ -106,6 +106,7 @@
 	// Memory is what the process may use; it sets the limit of the garbage collector.
 	Memory spec.Size `json:"memory,omitempty" validate:"omitempty,gte=64000000"`
 	Heads  Heads     `json:"heads,omitempty"`
+	Bodies Bodies    `json:"bodies,omitempty"`
 	Log    Log       `json:"log,omitempty"`
 }
 
--- a/node/body.go
+++ b/node/body.go
@@ -14,6 +14,13 @@
 const (
 	// _maxReplayBody is the size in bytes up to which a request body is buffered.
 	_maxReplayBody = 64 << 10
+	// _freeBody is the size in bytes up to which a body is not charged: a connection has
+	// buffers of this size anyway.
+	_freeBody = 4 << 10
+	// _bodyLogInterval is the least time between two log lines on bodies without room.
+	_bodyLogInterval = 10 * time.Second
+	// _bodyRetryAfter is when callers may return whose bodies got no room, in seconds.
+	_bodyRetryAfter = "1"
 	// _minHeldBody is the size in bytes from which a body is kept back until the owner
 	// admits the attempt, so that no owner gets a large body only to refuse it.
 	_minHeldBody = 16 << 10
@@ -81,6 +88,20 @@
 	return &requestBody{buffered: head.Bytes()}, nil
 }
 
+// bufferedSize returns how many bytes of a request's body are buffered at the most, 0 if it is
+// longer than the limit and none are.
+func bufferedSize(r *http.Request, limit int64) int64 {
+	switch {
+	case r.Body == nil || r.Body == http.NoBody:
+		return 0
+	case r.ContentLength < 0:
+		return _maxReplayBody + 1
+	case limit > 0 && r.ContentLength > limit:
+		return 0
+	}
+	return min(r.ContentLength, _maxReplayBody+1)
+}
+
 // bodyError translates an error of reading a caller's body.
 func bodyError(err error) error {
 	var tooLarge *http.MaxBytesError
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damaskpitch/damaskpitch/bodies"
 	"github.com/damaskpitch/damaskpitch/call"
 	"github.com/damaskpitch/damaskpitch/plan"
 	"github.com/damaskpitch/damaskpitch/probe"
@@ -101,11 +102,17 @@
 	e.deadline = e.startedAt.Add(timeout)
 	ctx, cancel := context.WithDeadline(r.Context(), e.deadline)
 	defer cancel()
+	charge, ok := e.acquireBody(ctx, limits.Body)
+	if !ok {
+		return
+	}
+	defer charge.Release()
 	body, err := readBody(w, r, limits.Body, e.deadline)
 	if err != nil {
 		e.refuseBody(err)
 		return
 	}
+	charge.Shrink(int64(len(body.buffered)))
 	e.body = body
 	if reason := e.unclaimableReason(); reason != "" {
 		refuse(w, http.StatusBadRequest, reason)
@@ -134,6 +141,41 @@
 	return true
 }
 
+// acquireBody waits for room to buffer the body. If there is none, it refuses the request, of
+// whose body nothing has been read, and returns false.
+func (e *exchange) acquireBody(ctx context.Context, limit int64) (*bodies.Charge, bool) {
+	size := bufferedSize(e.r, limit)
+	if size <= _freeBody {
+		return nil, true
+	}
+	charge, err := e.server.bodies.Acquire(ctx, size)
+	if err == nil {
+		return charge, true
+	}
+	e.server.stats.bodiesRefused.Inc(1)
+	e.server.logBodyRefused(err)
+	e.w.Header().Set("Retry-After", _bodyRetryAfter)
+	refuse(e.w, http.StatusServiceUnavailable, bodies.ErrFull.Error())
+	return nil, false
+}
+
+// logBodyRefused logs the first refusal for lack of room, and then at intervals how many there
+// were.
+func (s *Server) logBodyRefused(err error) {
+	s.mu.Lock()
+	s.refusedBodies++
+	n, now := s.refusedBodies, s.now()
+	due := s.bodiesLoggedAt == 0 || now-s.bodiesLoggedAt >= _bodyLogInterval
+	if due {
+		s.refusedBodies, s.bodiesLoggedAt = 0, now
+	}
+	s.mu.Unlock()
+	if due {
+		s.log.Warn("refused requests for lack of room for their bodies", slog.Int("requests", n),
+			slog.Int64("held", s.bodies.Used()), slog.Any("error", err))
+	}
+}
+
 // refuseBody responds to a request whose body could not be read; nothing of it has been
 // sent to an instance.
 func (e *exchange) refuseBody(err error) {
--- a/node/server.go
+++ b/node/server.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/damaskpitch/damaskpitch/access"
+	"github.com/damaskpitch/damaskpitch/bodies"
 	"github.com/damaskpitch/damaskpitch/config"
 	"github.com/damaskpitch/damaskpitch/drain"
 	"github.com/damaskpitch/damaskpitch/flow"
@@ -69,6 +70,7 @@
 	heads        *heads.Pool // of all ports but the one for other nodes
 	peerHeads    *heads.Pool
 	headLimits   config.Heads
+	bodies       *bodies.Pool
 	viewSync     *viewSync
 	pipelines    *pipelines
 	heartbeatNow chan struct{}
@@ -92,7 +94,9 @@
 	stopOnce        sync.Once
 	stopCounts      stopCounts
 	nextTick        time.Duration
-	planLease       access.Lease // of the right to honour keys
+	refusedBodies   int           // since the last log line on them
+	bodiesLoggedAt  time.Duration // 0 if none was logged
+	planLease       access.Lease  // of the right to honour keys
 	usage           usage
 	handoverAt      atomic.Int64 // time since start at which a successor took over; 0 if none did
 
@@ -141,6 +145,7 @@
 	peer, others := s.headLimits.NodePools()
 	recorder := heads.NewRecorder(s.meter.Scope, s.log)
 	s.peerHeads, s.heads = heads.NewPool(peer, recorder), heads.NewPool(others, recorder)
+	s.bodies = bodies.NewPool(cfg.Settings.Bodies.Pool(cfg.Settings.Memory))
 	s.viewSync = newViewSync(s)
 	s.pipelines = newPipelines(s)
 	return s
--- a/node/stats.go
+++ b/node/stats.go
@@ -30,6 +30,7 @@
 
 	pipelined          tally.Counter // requests of callers that started before their turn
 	pipelinedCancelled tally.Counter // of these, those whose connection closed first
+	bodiesRefused      tally.Counter // requests refused, as there was no room for their bodies
 	pipelinedAgain     tally.Counter // of these, those that were served again in their turn
 	pipelinedBytes     tally.Gauge   // held for pipelined requests
 
@@ -65,6 +66,7 @@
 
 		pipelined:          scope.Counter("pipelined"),
 		pipelinedCancelled: scope.Counter("pipelined_cancelled"),
+		bodiesRefused:      scope.Counter("bodies_refused"),
 		pipelinedAgain:     scope.Counter("pipelined_again"),
 		pipelinedBytes:     scope.Gauge("pipelined_bytes"),
 
