--- a/node/abort.go
+++ b/node/http10.go
@@ -15,20 +15,20 @@
 	_drainTimeout = 2 * time.Second
 )
 
-// endWithConnection returns a handler whose responses to callers with HTTP/1.0 end with a reset
-// unless they are complete, also if this process is killed. Such a response has neither chunks
+// resetIncomplete returns a handler that resets the connection of a caller with HTTP/1.0 unless
+// the response is complete, also if this process is killed. Such a response has neither chunks
 // nor, mostly, a length: a caller would take a part of it for the whole if the connection just
 // ended.
-func endWithConnection(next http.Handler) http.Handler {
+func resetIncomplete(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, ok := callerConn(r)
 		if !ok || r.ProtoAtLeast(1, 1) {
 			next.ServeHTTP(w, r)
 			return
 		}
-		// Errors of the connection's methods mean that it has ended.
+		// The methods of the connection fail only once it has ended.
 		_ = conn.SetLinger(0)
-		upload := &finiteBody{ReadCloser: r.Body}
+		upload := &trackedBody{ReadCloser: r.Body}
 		if r.Body != http.NoBody {
 			withUpload := *r
 			withUpload.Body = upload
@@ -71,14 +71,14 @@
 	return conn, ok
 }
 
-// finiteBody is a request body that knows whether it has been read to its end.
-type finiteBody struct {
+// trackedBody is a request body that knows whether it has been read to its end.
+type trackedBody struct {
 	io.ReadCloser
 	ended atomic.Bool
 }
 
 // Read reads from the body.
-func (b *finiteBody) Read(p []byte) (int, error) {
+func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF { //nolint:errorlint // request bodies return io.EOF unwrapped
 		b.ended.Store(true)
--- a/node/server.go
+++ b/node/server.go
@@ -166,7 +166,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.serve(ctx, s.cfg.Settings.Local, s.localHandler()) })
 	group.Go(func() error { return s.serve(ctx, s.cfg.Settings.Peer, s.peerHandler()) })
-	group.Go(func() error { return s.serve(ctx, s.cfg.Settings.Caller, endWithConnection(s.pipelines)) })
+	group.Go(func() error { return s.serve(ctx, s.cfg.Settings.Caller, resetIncomplete(s.pipelines)) })
 	if s.cfg.Settings.Ready != "" {
 		group.Go(func() error { return s.serve(ctx, s.cfg.Settings.Ready, s.localHandler()) })
 	}
