Owners close connections with an unfinished upload in stages

Cause: an owner whose response ended before the upload closed the connection with unread bytes.

Why this works: the sending side is closed first, and the peer's bytes are read until it has the response and closes, for 0.5 s at the most.

--- a/heads/conn.go
+++ b/heads/conn.go
@@ -1,7 +1,9 @@
 package heads
 
 import (
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +11,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// _lingerTime is how long a connection that is closed in stages waits for its peer.
+const _lingerTime = 500 * time.Millisecond
+
 // Conn is an accepted connection whose heads are charged to a pool. It changes no bytes.
 type Conn struct {
 	net.Conn
@@ -18,6 +23,7 @@
 	closed   chan struct{}
 	once     sync.Once
 	evicted  atomic.Bool
+	lingers  atomic.Bool  // closes in stages
 	deadline atomic.Int64 // for reads, Unix time in ns; 0 for none
 
 	mu     sync.Mutex
@@ -165,10 +171,36 @@
 
 // Close closes the connection and ends a wait for a charge.
 func (c *Conn) Close() error {
-	c.once.Do(func() { close(c.closed) })
+	first := false
+	c.once.Do(func() {
+		first = true
+		close(c.closed)
+	})
+	if first && c.lingers.Load() && c.CloseWrite() == nil {
+		go c.drain()
+		return nil
+	}
 	return c.Conn.Close()
 }
 
+// drain reads what the peer still sends, until it closes its side or for _lingerTime, and
+// closes the connection.
+func (c *Conn) drain() {
+	if err := c.Conn.SetReadDeadline(time.Now().Add(_lingerTime)); err == nil {
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+	_ = c.Conn.Close()
+}
+
+// Linger has the connection of a request closed in stages. If it were closed with unread
+// bytes, it would be reset, and the peer could lose the end of the response. net/http does so
+// itself, but not for requests with Expect.
+func Linger(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		c.lingers.Store(true)
+	}
+}
+
 // CloseWrite closes the sending side. net/http does so before it closes a connection on
 // which a client still sends, so that the client reads the response.
 func (c *Conn) CloseWrite() error {
--- a/node/reply.go
+++ b/node/reply.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/damaskpitch/damaskpitch/gate"
+	"github.com/damaskpitch/damaskpitch/heads"
 	"github.com/damaskpitch/damaskpitch/retry"
 	"github.com/damaskpitch/damaskpitch/route"
 )
@@ -80,6 +81,9 @@
 	}
 	// Fails for writers of tests only, which read no upload.
 	_ = http.NewResponseController(j.w).EnableFullDuplex()
+	if w.uploadBytes.Load() != j.r.ContentLength {
+		heads.Linger(j.r)
+	}
 	if w.uploadBytes.Load() == 0 && j.r.Header.Get("Expect") != "" {
 		j.w.WriteHeader(http.StatusContinue)
 	}
