soak: the watch of stalls ends before the report is returned

Run returned a copy of its report while the goroutine that watches for stalls of the machine could still add a note to it; the deferred cancel and wait came after the copy. Both come before it now.

--- a/soak/run.go
+++ b/soak/run.go
@@ -121,6 +121,9 @@
 		errorf("change not readable at every control host %v after the last event: %v", _convergenceTimeout, err)
 	}
 	calls.checkRunCounts()
+	// The watch of stalls writes notes to the report.
+	cancel()
+	wg.Wait()
 	report.Tally, report.Changes = calls.tally, ops.changes
 	return report, nil
 }
