probe: an attempt that reached no instance does not use that instance up

Cause: an attempt that is not acknowledged in time is revoked, and one without a connection is given up. The search took both for the refusal of an instance that accepts no requests and never tried it again. Two such attempts left a service of two instances without candidates.

Change: reason Unreached. Such instances are left out of a round; without another candidate the request searches again every 200 ms, for a fifth of its time-out and two seconds at the most.

--- a/node/attempt.go
+++ b/node/attempt.go
@@ -261,6 +261,8 @@
 		refused.Reason = probe.OwnerRestarted
 	case !res.retryIsFree:
 		return probe.SentMsg{Key: key}
+	case res.response == nil, res.reason == string(gate.Revoked):
+		refused.Reason = probe.Unreached
 	case res.reason == string(gate.Full), res.reason == string(gate.Limited):
 		refused.Reason = probe.Full
 	case res.reason == string(gate.UnknownInstance):
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/damaskpitch/damaskpitch/call"
+	"github.com/damaskpitch/damaskpitch/ledger"
+	"github.com/damaskpitch/damaskpitch/probe"
 	"github.com/damaskpitch/damaskpitch/retry"
 )
 
@@ -123,6 +125,11 @@
 		e.recover(e.lastResult, status.Response)
 		return e.responseMsg(e.lastResult)
 	}
+	if known && status.State == ledger.Canceled {
+		e.search, _ = e.search.Update(probe.RefusedMsg{
+			At: e.server.now(), Key: e.lastResult.choice.Candidate.Key, Mode: e.lastResult.tryCmd.Mode, Reason: probe.Unreached,
+		})
+	}
 	return call.RevokeResultMsg{Known: known, State: status.State, TimeLeft: time.Until(e.deadline)}
 }
 
--- a/probe/messages.go
+++ b/probe/messages.go
@@ -59,6 +59,9 @@
 	// UnknownInstance means that the owner does not know the instance; the owner
 	// may have just started.
 	UnknownInstance
+	// Unreached means that the attempt did not reach the instance: its owner could not be
+	// reached, or the attempt was revoked because it was not acknowledged in time.
+	Unreached
 )
 
 // Cmd is the next step of the search.
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -32,8 +32,11 @@
 	_maxWaitShare = 0.5
 	// _noRetryPauseShare is the share of its timeout that a request which cannot be
 	// retried waits for an instance without recent failures. It also bounds the wait
-	// for instances that their owners do not know yet.
+	// for instances that their owners do not know yet, and for unreachable owners.
 	_noRetryPauseShare = 0.2
+	// _maxUnreachedWait is how long a request waits at most for an owner that cannot be
+	// reached. Owners that stall, or whose network does, reply again within a second or two.
+	_maxUnreachedWait = 2 * time.Second
 	// _retryPause is the delay before such a request probes again. It equals the delay
 	// before package trust probes whether a failing instance has recovered.
 	_retryPause = 200 * time.Millisecond
@@ -56,6 +59,7 @@
 	full           []view.Key // refused with AdmitIfFree
 	overloaded     []view.Key // refused with AdmitQueued or AdmitAny
 	unknown        []view.Key // unknown to their owners, which may have just started
+	unreached      []view.Key // their owners could not be reached in time
 	probesLeft     int
 	farRefusals    int // for lack of a free slot, in other data centres
 	budgetRefusals int
@@ -96,7 +100,7 @@
 	if m.probesLeft > 0 {
 		m.probesLeft--
 		m.lastMode = AdmitIfFree
-		return m, TryCmd{Mode: AdmitIfFree, Exclude: slices.Concat(m.sent, m.unknown, m.failing, m.full, m.overloaded)}
+		return m, TryCmd{Mode: AdmitIfFree, Exclude: m.exclude(m.failing, m.full)}
 	}
 	return m.queue(at)
 }
@@ -106,7 +110,7 @@
 		return m, StopCmd{}
 	}
 	m.lastMode = AdmitQueued
-	return m, TryCmd{Mode: AdmitQueued, Exclude: slices.Concat(m.sent, m.unknown, m.failing, m.overloaded), MaxWait: min(_maxWaitPerOwner, m.waitLeft(at)), WaitLeft: m.waitLeft(at)}
+	return m, TryCmd{Mode: AdmitQueued, Exclude: m.exclude(m.failing), MaxWait: min(_maxWaitPerOwner, m.waitLeft(at)), WaitLeft: m.waitLeft(at)}
 }
 
 // waitLeft returns how much longer the request may wait for a slot.
@@ -124,6 +128,9 @@
 	case len(m.unknown) > 0 && m.elapsedShare(msg.At) < _noRetryPauseShare:
 		return m.pause()
 	case m.lastMode == AdmitAny || len(m.failing) == 0 && !msg.Skipped:
+		if len(m.unreached) > 0 && msg.At < m.unreachedWaitEnd() {
+			return m.pause()
+		}
 		return m, StopCmd{}
 	case len(m.overloaded) > 0:
 		// The other instances are overloaded. If the request were sent to a failing
@@ -134,12 +141,12 @@
 	}
 	m.lastMode = AdmitAny
 	m.probesLeft = 0
-	return m, TryCmd{Mode: AdmitAny, Exclude: slices.Concat(m.sent, m.unknown, m.overloaded), MaxWait: min(_maxWaitPerOwner, m.waitLeft(msg.At)), WaitLeft: m.waitLeft(msg.At)}
+	return m, TryCmd{Mode: AdmitAny, Exclude: m.exclude(), MaxWait: min(_maxWaitPerOwner, m.waitLeft(msg.At)), WaitLeft: m.waitLeft(msg.At)}
 }
 
 // pause delays the next probes and clears refusals that may not hold after it.
 func (m Model) pause() (Model, Cmd) {
-	m.failing, m.full, m.unknown = nil, nil, nil
+	m.failing, m.full, m.unknown, m.unreached = nil, nil, nil, nil
 	m.probesLeft = _probesAfterWait
 	return m, PauseCmd{Delay: _retryPause}
 }
@@ -165,6 +172,8 @@
 		m.failing = append(slices.Clip(m.failing), msg.Key)
 	case UnknownInstance:
 		m.unknown = append(slices.Clip(m.unknown), msg.Key)
+	case Unreached:
+		m.unreached = append(slices.Clip(m.unreached), msg.Key)
 	case WaitExpired:
 		m.full, m.failing, m.unknown = nil, nil, nil
 		m.probesLeft = _probesAfterWait
@@ -177,6 +186,18 @@
 	return m
 }
 
+// exclude returns the instances that are not tried now: those given and those that no mode
+// of admission allows.
+func (m Model) exclude(others ...[]view.Key) []view.Key {
+	return slices.Concat(m.sent, m.unknown, m.unreached, m.overloaded, slices.Concat(others...))
+}
+
+// unreachedWaitEnd returns until when the request waits for owners that cannot be reached.
+func (m Model) unreachedWaitEnd() time.Duration {
+	share := time.Duration(_noRetryPauseShare * float64(m.cfg.Deadline-m.cfg.Start))
+	return m.cfg.Start + min(share, _maxUnreachedWait)
+}
+
 // elapsedShare returns the share of the request's timeout that has elapsed.
 func (m Model) elapsedShare(at time.Duration) float64 {
 	return float64(at-m.cfg.Start) / float64(max(m.cfg.Deadline-m.cfg.Start, 1))
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -191,6 +191,22 @@
 			[2]time.Duration{0, 10 * time.Millisecond},
 			3, "",
 		},
+		{
+			"all owners are stalled: the search goes on when they reply again", false,
+			func(now time.Duration) fakeService {
+				stalled := allRefuse(2, Unreached)
+				stalled.free[0], stalled.free[1] = now > 700*time.Millisecond, now > 700*time.Millisecond
+				return stalled
+			},
+			[2]time.Duration{700 * time.Millisecond, time.Second},
+			20, AdmitIfFree,
+		},
+		{
+			"all owners are down: the search ends while the caller has time to retry", false,
+			func(time.Duration) fakeService { return allRefuse(2, Unreached) },
+			[2]time.Duration{0, _timeout / 4},
+			40, "",
+		},
 	}
 	for _, c := range cases {
 		took, asked, mode := search(t, Config{Deadline: _timeout, NoRetry: c.noRetry}, c.at)
@@ -224,7 +240,7 @@
 // that refused a probe. The search for a hedge had marked the instance as sent in
 // the meantime and found no other, which must not exclude it.
 func TestRefusalAfterFailedHedge(t *testing.T) {
-	for _, reason := range []RefusalReason{Full, WaitExpired, RecentFailures, UnknownInstance, OwnerRestarted} {
+	for _, reason := range []RefusalReason{Full, WaitExpired, RecentFailures, UnknownInstance, Unreached, OwnerRestarted} {
 		m := New(Config{Deadline: _timeout})
 		m, _ = m.Update(NextMsg{})
 		m, _ = m.Update(SentMsg{Key: key(1)})
