soak: a script of losses is executed whole on a machine that stalls

A seeded run still ends in time; a script now goes on to its end, and the test checks all of its losses.

--- a/soak/lossinject.go
+++ b/soak/lossinject.go
@@ -75,7 +75,11 @@
 	if e.Kind.killsOthers() {
 		all = l.budget.hosts
 	}
-	if !l.budget.wait(ctx, all) || l.elapsed() > l.fleet.cfg.For {
+	if !l.budget.wait(ctx, all) {
+		return nil, false
+	}
+	// A script is executed whole, however long the machine stalls between its events.
+	if l.fleet.cfg.script == nil && l.elapsed() > l.fleet.cfg.For {
 		return nil, false
 	}
 	time.Sleep(e.At)
