probe: no wait for unreachable owners while the others are overloaded

Since a request whose other candidates are overloaded waited for its time-out's fifth before it was refused. It can't be served, so it is refused at once again.

--- a/probe/probe.go
+++ b/probe/probe.go
@@ -128,7 +128,7 @@
 	case len(m.unknown) > 0 && m.elapsedShare(msg.At) < _noRetryPauseShare:
 		return m.pause()
 	case m.lastMode == AdmitAny || len(m.failing) == 0 && !msg.Skipped:
-		if len(m.unreached) > 0 && msg.At < m.unreachedWaitEnd() {
+		if len(m.unreached) > 0 && len(m.overloaded) == 0 && msg.At < m.unreachedWaitEnd() {
 			return m.pause()
 		}
 		return m, StopCmd{}
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -207,6 +207,17 @@
 			[2]time.Duration{0, _timeout / 4},
 			40, "",
 		},
+		{
+			"all others overloaded: a request does not wait for the unreachable owners", false,
+			func(time.Duration) fakeService {
+				s := allRefuse(6, Unreached)
+				s.reasons[0], s.reasons[3] = Full, Full
+				s.overloaded = true
+				return s
+			},
+			[2]time.Duration{0, 100 * time.Millisecond},
+			16, "",
+		},
 	}
 	for _, c := range cases {
 		took, asked, mode := search(t, Config{Deadline: _timeout, NoRetry: c.noRetry}, c.at)
