--- a/node/listen_test.go
+++ b/node/listen_test.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -145,13 +147,27 @@
 		time.Sleep(50 * time.Millisecond)
 		stop()
 		if err := <-stopped; err != nil {
-			t.Errorf("round %d: %v", round, err)
+			t.Errorf("round %d: %v\n%s", round, err, connGoroutines())
 		}
 		stopCallers()
 		wg.Wait()
 	}
 }
 
+// connGoroutines returns the stacks of the goroutines that serve, close or open connections.
+func connGoroutines() string {
+	const maxSize = 8 << 20
+	stacks := make([]byte, maxSize)
+	stacks = stacks[:runtime.Stack(stacks, true)]
+	var found []string
+	for _, stack := range strings.Split(string(stacks), "\n\n") {
+		if strings.Contains(stack, "(*conn).serve") || strings.Contains(stack, "closeUnused") || strings.Contains(stack, "requestOnNewConn") {
+			found = append(found, stack)
+		}
+	}
+	return strings.Join(found, "\n\n")
+}
+
 // requestOnNewConn sends a request on a new connection. It returns an error if the
 // connection was established and ends without an answer.
 func requestOnNewConn(addr string) error {
