node: tests close the meters of the servers that they make

Cause of TestStopResetsNoConnection's failures in the whole package: each Server has a loop that reports its metrics once a second until Run ends, and tests that never run theirs left it behind. After TestDeparturesOutliveNode 8,586 of them ran (goroutine profile), with 443 MB of metrics in use (heap profile). Once a second they took the processor from the callers and connections of the later test; the sleeps of the drain are not affected, which is what its log showed. A process of the product runs one Server and closes its meter.

--- a/node/instance_test.go
+++ b/node/instance_test.go
@@ -15,10 +15,16 @@
 // newReportServer returns a node that accepts reports without running.
 func newReportServer(t *testing.T) *Server {
 	t.Helper()
-	return New(Config{
+	s := New(Config{
 		Settings: config.Node{Name: "n1", Center: "mida", Key: "a-key-of-sixteen-bytes", Control: []string{"127.0.0.1:1"}},
 		Logger:   slog.New(slog.DiscardHandler),
 	})
+	t.Cleanup(func() {
+		if err := s.meter.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return s
 }
 
 // TestBadReports checks that the error for an invalid report names the field at fault.
