node: the wait for a claim is no wait for a slot

Cause: a request waits for a slot for half of its time-out at the most, counted from its arrival. The claim of its key took 2.1 s while a control host was replaced, so the search ended before its first try.

Change: the search begins when the claim is granted, with the time that is left.

--- a/node/claim.go
+++ b/node/claim.go
@@ -54,6 +54,8 @@
 	case store.ClaimResult:
 		e.claimResult = reply
 		if reply.Granted {
+			// The wait for the claim is no wait for a slot.
+			e.search = newSearch(e.server.now(), time.Until(e.deadline))
 			return call.ClaimedMsg{Claim: call.ClaimGranted}
 		}
 		return call.ClaimedMsg{Claim: call.ClaimHeld, State: reply.State}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -125,10 +125,15 @@
 		return
 	}
 	e.repeatShare = s.callRepeatShare(match.Service.Name)
-	e.search = probe.New(probe.Config{Start: s.now(), Deadline: s.now() + timeout})
+	e.search = newSearch(s.now(), timeout)
 	e.run(ctx)
 }
 
+// newSearch returns the search of a request that has yet to try an instance.
+func newSearch(at, left time.Duration) probe.Model {
+	return probe.New(probe.Config{Start: at, Deadline: at + left})
+}
+
 // waitForDeclarations waits until the declared services and routes are known,
 // which they are not on a node that has just started. It returns false if they
 // do not arrive in time.
