--- a/node/listen_test.go
+++ b/node/listen_test.go
@@ -118,9 +118,7 @@
 	const (
 		rounds  = 8
 		callers = 16
-		// A third of what the platform gives. A process that the machine hardly runs can use up
-		// a stop of 200 ms before it closes its listener.
-		stopTime = spec.Duration(2 * time.Second)
+		stopTime = spec.Duration(200 * time.Millisecond)
 	)
 	for round := range rounds {
 		s := New(Config{
