--- a/node/listen_test.go
+++ b/node/listen_test.go
@@ -116,8 +116,8 @@
 // that a caller could open, before its first request is answered.
 func TestStopResetsNoConnection(t *testing.T) {
 	const (
-		rounds  = 8
-		callers = 16
+		rounds   = 8
+		callers  = 16
 		stopTime = spec.Duration(200 * time.Millisecond)
 	)
 	for round := range rounds {
