trials: fleets wait until their nodes listen

Cause: startCustomerFleet restarts both nodes and reports instances to them at once, and startPlatformFleet waited for the readiness address only, while a node opens its addresses in parallel. A node that starts late refuses the connection; no caller of the product is concerned.

No check or bound of a test is touched.

--- a/trials/customer_test.go
+++ b/trials/customer_test.go
@@ -55,6 +55,7 @@
 		f.nodes[n].Revoke = revoke
 		f.start(f.nodes[n].Name, "node", f.nodes[n], "--platform")
 	}
+	f.awaitListening()
 	first, second := f.startInstances(t)
 	f.eventually("customers", func() error {
 		p := customerPlan()
--- a/trials/platform_test.go
+++ b/trials/platform_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -131,13 +132,27 @@
 		f.nodes = append(f.nodes, settings)
 		f.start(settings.Name, "node", settings, "--platform")
 	}
+	f.awaitListening()
+	return f
+}
+
+// awaitListening waits until the nodes accept connections at the addresses that instances,
+// callers and readiness checks use. A node opens them in no particular order.
+func (f *fleet) awaitListening() {
 	f.eventually("listening nodes", func() error {
-		if f.readyStatus(0) == 0 || f.readyStatus(1) == 0 {
-			return errors.New("a node is not listening")
+		for _, n := range f.nodes {
+			for _, addr := range []string{n.Local, n.Caller, n.Ready} {
+				conn, err := net.Dial("tcp", addr)
+				if err != nil {
+					return fmt.Errorf("%s: %w", n.Name, err)
+				}
+				if err := conn.Close(); err != nil {
+					return fmt.Errorf("%s: %w", n.Name, err)
+				}
+			}
 		}
 		return nil
 	})
-	return f
 }
 
 // readyStatus returns the status of a node's readiness check, or 0.
